--- /dev/null
+++ b/src/test/java/deckfall/net/SocketTest.java
@@ -0,0 +1,110 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.list;
+import static deckfall.net.Sockets.ok;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Message;
+import deckfall.net.Sockets.Registry;
+import deckfall.net.Sockets.Server;
+import io.netty.buffer.PooledByteBufAllocator;
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+
+/** A node between real sockets, which all end with the test, and no buffer of which may be lost. */
+abstract class SocketTest {
+    private static final Logger LEAKS = Logger.getLogger("io.netty.util.ResourceLeakDetector");
+    private static final List<String> LEAKED = new CopyOnWriteArrayList<>();
+    private static final Handler NOTE = new Handler() {
+        @Override
+        public void publish(LogRecord r) {
+            LEAKED.add(r.getMessage());
+        }
+
+        @Override
+        public void flush() { }
+
+        @Override
+        public void close() { }
+    };
+
+    final Deque<Closeable> ends = new ArrayDeque<>();
+    Registry registry;
+
+    @BeforeAll
+    static void noteLeaks() {
+        LEAKS.addHandler(NOTE);
+    }
+
+    /** A buffer that was not released shows once it has been collected and another is taken. */
+    @AfterAll
+    static void noBufferWasLeaked() {
+        for (int i = 0; i < 5; i++) {
+            System.gc();
+            PooledByteBufAllocator.DEFAULT.buffer(64).release();
+        }
+        LEAKS.removeHandler(NOTE);
+        assertEquals(List.of(), LEAKED);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Closeable c : ends) {
+            c.close();
+        }
+    }
+
+    <T extends Closeable> T kept(T end) {
+        ends.push(end);
+        return end;
+    }
+
+    Server host(Sockets.Answer answer) throws IOException {
+        return kept(new Server(answer));
+    }
+
+    static void echo(Message m, java.net.Socket s) throws IOException {
+        s.getOutputStream().write(ok("for " + m.header("X-Trace-Id") + " " + m.text()));
+    }
+
+    Node nodeWith(String... entries) throws IOException {
+        registry = kept(new Registry(list(1, true, entries)));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"));
+        ends.push(node::stop);
+        return node;
+    }
+
+    Node nodeBefore(Server... hosts) throws IOException {
+        String[] entries = new String[hosts.length];
+        for (int i = 0; i < hosts.length; i++) {
+            entries[i] = entry("h" + i, hosts[i].address(), "ready");
+        }
+        return nodeWith(entries);
+    }
+
+    Client client(Node node) throws IOException {
+        return kept(new Client(node));
+    }
+
+    void awaitWatches(int count) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (registry.server.asked.stream().filter(m -> m.start().contains("from=")).count() < count) {
+            assertTrue(System.nanoTime() < end, "no watch came");
+            Thread.sleep(5);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/deckfall/net/WarmUpTest.java
@@ -0,0 +1,52 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.view;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Message;
+import deckfall.net.Sockets.Server;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+/** The made-up clients before the first real one. */
+class WarmUpTest extends SocketTest {
+    private static final int FEW = 200;
+
+    private static NodeConfig config() throws Exception {
+        return NodeConfig.of(new ObjectMapper().readTree(Sockets.config("127.0.0.1:1", "127.0.0.1:0")));
+    }
+
+    private static Set<String> loops() {
+        return Thread.getAllStackTraces().keySet().stream().map(Thread::getName)
+                .filter(n -> n.startsWith("nioEventLoopGroup")).collect(Collectors.toSet());
+    }
+
+    /** Every request is answered, whatever goes wrong among its hosts, and nothing of it runs on. */
+    @Test
+    void answersAllAndLeavesNothingBehind() throws Exception {
+        Set<String> before = loops();
+        assertEquals(FEW, WarmUp.run(config(), FEW, Sockets.PATIENCE_MS, () -> false));
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (!before.containsAll(loops())) {
+            assertTrue(System.nanoTime() < end, "runs on");
+            Thread.sleep(5);
+        }
+    }
+
+    /** What it did to quotas, hosts and bounds was done to other modules: the first real customer finds all new. */
+    @Test
+    void leavesTheRealNodeAsItWas() throws Exception {
+        WarmUp.run(config(), FEW, Sockets.PATIENCE_MS, () -> false);
+        Server host = host(SocketTest::echo);
+        Client client = client(nodeBefore(host));
+        Message answer = client.send(view("r1", Sockets.PATIENCE_MS).replace("X-Plan: free", "X-Plan: tiny")
+                .replace("00000000b4d65521", "0000000000000001")).receive();
+        assertEquals(200, answer.status());
+        assertEquals(1, host.asked.size());
+    }
+}
