Read the metered use that hosts tell in X-Quota-Used

Cause: Node told the module a use of 0 for every answer, so on sockets no customer's part ever left the even split, and a gateway on which a customer's requests gather refused them while the quota was half unused.

Ruled out: the module. Pressed hosts: no answer was full and none timed out.

Failures around the gateways' restarts (from 16 s) are another cause and remain.

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -31,6 +31,7 @@
 final class HostClient {
     private static final String HOST = "backend.local";
     private static final String REPORT = "Endpoint-Load-Metrics";
+    private static final String QUOTA_USED = "X-Quota-Used";
     private static final double IDLE_SHARE = 0.6; // of the time after which a host may close an idle connection
     private static final long SWEEP_MS = 500;
     private static final double SOCKET_SHARE = 0.36; // of all descriptors; the program itself needs some, too
@@ -243,7 +244,13 @@
         });
     }
 
-    // ---- load reports
+    // ---- what answers tell beside their body
+
+    /** The customer's metered use as the module is told it, 1 + percent; 0 where the answer tells none. */
+    static int used(FullHttpResponse response) {
+        double percent = RequestTerms.plain(response.headers().get(QUOTA_USED), false);
+        return percent < 0 ? 0 : 1 + (int) percent;
+    }
 
     double[] report(FullHttpResponse response) {
         String text = response.headers().get(REPORT);
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -282,8 +282,9 @@
         boolean closed = r.closed();
         double took = clock.now() - a.sentAt;
         double[] report = response == null ? NO_REPORT : hosts.report(response);
+        int used = response == null ? 0 : HostClient.used(response);
         tell((now, m) -> m.attemptEnded(now,
-                new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, 0, 0, report)));
+                new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, used, 0, report)));
         forgetIfOver(r);
     }
 
--- a/src/main/java/deckfall/net/RequestTerms.java
+++ b/src/main/java/deckfall/net/RequestTerms.java
@@ -134,7 +134,7 @@
     }
 
     /** Digits, and where allowed a point between them: no sign, exponent, blank, NaN or infinity. */
-    private static double plain(String text, boolean fraction) {
+    static double plain(String text, boolean fraction) {
         int point = -1;
         for (int i = 0; text != null && i < text.length(); i++) {
             char c = text.charAt(i);
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -33,11 +33,17 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 
@@ -418,7 +424,11 @@
     }
 
     /** A module that does only what a test says of a request. */
-    private record Scripted(BiConsumer<Double, Request> script) implements Events {
+    private record Scripted(BiConsumer<Double, Request> script, Consumer<AttemptResult> ends) implements Events {
+        Scripted(BiConsumer<Double, Request> script) {
+            this(script, r -> { });
+        }
+
         @Override
         public void start(double now, Settings settings) { }
 
@@ -434,7 +444,9 @@
         public void streamStarted(double now, String id, int attempt) { }
 
         @Override
-        public void attemptEnded(double now, AttemptResult r) { }
+        public void attemptEnded(double now, AttemptResult r) {
+            ends.accept(r);
+        }
 
         @Override
         public void clientLeft(double now, String id) { }
@@ -459,6 +471,37 @@
         return node;
     }
 
+    /** Without it the module never learns what the other gateways let in, and every part stays the even one. */
+    @Test
+    void theMeteredUseThatAnAnswerTellsReachesTheModule() throws Exception {
+        Map<String, String> answers = new LinkedHashMap<>();
+        answers.put("told", "HTTP/1.1 200 OK\r\nX-Quota-Used: 86\r\n");
+        answers.put("idle", "HTTP/1.1 200 OK\r\nX-Quota-Used: 0\r\n");
+        answers.put("error", "HTTP/1.1 500 Broken\r\nX-Quota-Used: 120\r\n");
+        answers.put("none", "HTTP/1.1 200 OK\r\n");
+        answers.put("noise", "HTTP/1.1 200 OK\r\nX-Quota-Used: -3\r\n");
+        Server host = host((m, s) -> s.getOutputStream()
+                .write(bytes(answers.get(m.header("X-Trace-Id")) + "Content-Length: 0\r\n\r\n")));
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        BlockingQueue<AttemptResult> ended = new LinkedBlockingQueue<>();
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"servers\": []", "\"servers\": [" + entry("h0", host.address(), "ready") + "]"),
+                act -> new Scripted((now, r) -> act.send(r.id(), "h0", 0), r -> {
+                    ended.add(r);
+                    if (!r.closed()) {
+                        act.fail(r.id());
+                    }
+                }));
+        ends.push(node::stop);
+        Client c = client(node);
+        List<Integer> told = new ArrayList<>();
+        for (String id : answers.keySet()) {
+            assertNotNull(c.send(view(id, Sockets.PATIENCE_MS)).receive());
+            told.add(ended.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS).usedPct());
+        }
+        assertEquals(List.of(87, 1, 121, 0, 0), told);
+    }
+
     /** What the module forgets or breaks on is failed, not refused: it may have run (rules 1 and 2). */
     @Test
     void aModuleThatThrowsStillCostsNoAnswer() throws Exception {
