Serve clients on their open connections until near the kill in a drain

Cause: from SIGTERM on each answer ended its client's connection, and at 500 ms the idle ones ended too. The process was gone at 0.5 s, but the platform starts its successor only about 4 s after SIGTERM. In a rolling restart every 3 s this and the warm-up left up to three of four gateways away at once, and customers whose whole set was away failed.

Seen by scratch logs: drained at 0.5 s, next process at 4.1 s, serving 4.6 s later. Ruled out: requests lost in the drain (none open at its end), hosts (no attempt failed in those stretches).

The times now follow the settings: serving ends one longest aim before the end of all attempts, and that comes 400 ms before the earliest kill.

What remains is the length of the start, another cause.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -72,9 +72,12 @@
         return bound;
     }
 
-    /** After this only requests that already came are answered. */
-    void stopAccepting() {
-        listener.close();
+    ChannelFuture stopAccepting() {
+        return listener.close();
+    }
+
+    /** Ends every connection on which nothing is asked. */
+    void closeIdle() {
         for (LinkedHashSet<Connection> from : givingWay) {
             List.copyOf(from).forEach(c -> giveUp(c, from));
         }
@@ -346,7 +349,7 @@
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             current = null;
             busy = false;
-            ended = !keepAlive || node.draining();
+            ended = !keepAlive || node.closing();
             if (ended) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
                 channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -34,8 +34,6 @@
  * table of open requests. It carries out what the module decides and tells it what came of it.
  */
 public final class Node implements Actions {
-    private static final long ACCEPT_ON_MS = 500; // after SIGTERM: new connections still come for a while
-    private static final long DRAIN_MS = 3000; // after SIGTERM: what is open then ends, well before SIGKILL
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final double MICROS_PER_MS = 1000;
@@ -69,6 +67,7 @@
     private boolean telling;
     private boolean serving; // before, what peers say is for the ears of a module that has not begun
     private boolean draining;
+    private boolean closing; // in a drain: connections end with their next answer
     private boolean over; // the drain's time is up: nothing more is sent
 
     Node(NodeConfig config) {
@@ -214,6 +213,10 @@
         return draining;
     }
 
+    boolean closing() {
+        return closing;
+    }
+
     /** Whether a request of this id is open: a second one would be answered with what was made for the first. */
     boolean knows(String id) {
         return open.containsKey(id);
@@ -406,14 +409,24 @@
         Runtime.getRuntime().halt(0);
     }
 
-    /** Accepts on for a while, since clients still come; answers all; then lets the process end. */
+    /** Accepts and serves on for a while, since clients still come; answers all; then lets the process end. */
     void drain() {
         draining = true;
-        loop.schedule(() -> {
-            clients.stopAccepting();
-            awaitEmpty();
-        }, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(this::endAll, DRAIN_MS, TimeUnit.MILLISECONDS);
+        DrainTimes times = DrainTimes.of(config.settings().classes());
+        loop.schedule(this::stopAccepting, times.acceptMs(), TimeUnit.MILLISECONDS);
+        loop.schedule(this::stopServing, times.serveMs(), TimeUnit.MILLISECONDS);
+        loop.schedule(this::endAll, times.endMs(), TimeUnit.MILLISECONDS);
+    }
+
+    ChannelFuture stopAccepting() {
+        return clients.stopAccepting();
+    }
+
+    /** From here on only requests that already came are answered. */
+    void stopServing() {
+        closing = true;
+        clients.closeIdle();
+        awaitEmpty();
     }
 
     /** Gives up every attempt; what follows from that is answered as ever. */
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -18,11 +18,14 @@
 
 import deckfall.Gateway.Actions;
 import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Effect;
 import deckfall.Gateway.Events;
 import deckfall.Gateway.Host;
 import deckfall.Gateway.ListKind;
 import deckfall.Gateway.Outcome;
 import deckfall.Gateway.Request;
+import deckfall.Gateway.RequestClass;
+import deckfall.Gateway.Scope;
 import deckfall.Gateway.Settings;
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Message;
@@ -400,6 +403,8 @@
         assertNotNull(host.next());
         node.loop.submit(node::drain).sync();
         Client late = client(node).send(view("w", Sockets.PATIENCE_MS)); // clients still come for a while
+        assertNotNull(host.next());
+        node.loop.submit(node::stopServing).sync();
         draining.countDown();
         for (Client c : List.of(busy, late)) {
             Message answer = c.receive();
@@ -411,6 +416,35 @@
         assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
     }
 
+    /** Each once ended with its next answer: where gateways restart in turn, their clients then found none at all. */
+    @Test
+    void aDrainServesOnWhereClientsKeepTheirConnections() throws Exception {
+        Node node = nodeBefore(host(SocketTest::echo));
+        Client kept = client(node);
+        assertEquals("for v ", kept.send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        node.loop.submit(node::drain).sync();
+        node.loop.submit(node::stopAccepting).sync().getNow().sync();
+        for (String id : List.of("w", "x")) {
+            assertEquals("for " + id + " ", kept.send(view(id, Sockets.PATIENCE_MS)).receive().text());
+        }
+        node.loop.submit(node::stopServing).sync();
+        assertNull(kept.receive());
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
+    private static RequestClass timed(double aimMs, double deadlineMs) {
+        return new RequestClass("c" + aimMs, Effect.REPEATABLE, Scope.ALL, 0, aimMs, deadlineMs, 1, 0, false);
+    }
+
+    /** What is served late in a drain still has its wanted time before all ends, and that comes before the kill. */
+    @Test
+    void aDrainServesAsLongAsTheKillLeavesTime() {
+        assertEquals(new DrainTimes(500, 2401, 2926), DrainTimes.of(List.of(timed(399, 1754), timed(525, 2626))));
+        assertEquals(new DrainTimes(500, 1000, 3000), DrainTimes.of(List.of(timed(2000, 7500))));
+        assertEquals(new DrainTimes(500, 780, 900), DrainTimes.of(List.of(timed(120, 600))));
+        assertEquals(new DrainTimes(500, 500, 500), DrainTimes.of(List.of(timed(150, 150))));
+    }
+
     /** Nothing may be left open when the process is killed: what still runs then is failed or refused before. */
     @Test
     void aDrainEndsWhatAHostNeverAnswers() throws Exception {
