Let a second failure in a row, not the first, condemn a host

Cause: one failed connect set a host's slowness to 12 and took it out of the capacity for some 8 s, and one reset or error made it five times less wanted for its class. On a network that breaks a few connections at random, up to five of eight hosts stood condemned and idle at a time, the bound fell from 13 to 4 places, and requests inside their quota were refused while held. A good answer between now clears the count.

A dead host costs one more refused connect, which ends at once and may be repeated elsewhere.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -68,6 +68,7 @@
     // Hosts
     private static final double SLOW_GAIN = 0.12; // weight of one answer in a host's slowness
     private static final double FAILED_GAIN = 0.4; // weight of a failure or of an overdue attempt
+    private static final double CHANCE_GAIN = 0.1; // weight of a first one: any host's connection may break
     private static final double SLOW_MAX = 12; // largest slowness that is believed
     private static final double BAD_ANSWER = 4; // slowness of a full host, and of one tried before
     private static final double SLOW_FADE_MS = 6000; // slowness not confirmed fades: a trial by itself
@@ -830,6 +831,12 @@
         h.at = now;
     }
 
+    /** One failure may be chance; a further one with no good answer between them tells of the host. */
+    private static void failed(Health h, double gain, double now) {
+        judge(h, SLOW_MAX, h.failures > 0 ? gain : CHANCE_GAIN, now);
+        h.failures++;
+    }
+
     private double rampOf(Server s, double now) {
         double from = set.rules().coldFrom();
         double done = (now - s.coldAt) / Math.max(1, set.rules().warmWithinMs());
@@ -933,6 +940,7 @@
             case OK -> {
                 judge(s.health, r.latencyMs() / Math.max(1, a.work), SLOW_GAIN, now);
                 judge(s.of(c), 1, FAILED_GAIN, now);
+                s.health.failures = s.of(c).failures = 0;
                 double perUnit = r.latencyMs() / Math.max(0.1, ask.request.units());
                 c.samples++;
                 c.latencyPerUnit += Math.max(0.03, 1.0 / c.samples) * (perUnit - c.latencyPerUnit);
@@ -941,10 +949,10 @@
                     charge(ask.customer, r.trueUnits() - ask.request.units(), 0);
                 }
             }
-            // No connection: down or full, the host takes nothing from us now; one is enough.
-            case CONNECT_FAILED -> judge(s.health, SLOW_MAX, 1, now);
+            // No connection, and again none: down or full, the host takes nothing from us now.
+            case CONNECT_FAILED -> failed(s.health, 1, now);
             case FULL -> judge(s.health, BAD_ANSWER, FAILED_GAIN, now);
-            case ERROR, RESET, TIMEOUT -> judge(s.of(c), SLOW_MAX, FAILED_GAIN, now);
+            case ERROR, RESET, TIMEOUT -> failed(s.of(c), FAILED_GAIN, now);
             default -> { }
         }
         if (r.outcome() == Outcome.OK || r.outcome() == Outcome.TIMEOUT) {
@@ -963,7 +971,7 @@
                 double waited = now - a.sentAt - (stalled - a.stalled);
                 if (a.overdue || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
                 a.overdue = true;
-                judge(s.of(a.ask.cls), SLOW_MAX, FAILED_GAIN, now);
+                failed(s.of(a.ask.cls), FAILED_GAIN, now);
                 boolean useful = !a.ask.done && !a.ask.streaming && now + a.work < giveUpAt(a.ask);
                 boolean safe = a.ask.cls.spec.effect() != Effect.ONCE && set.limits().cancel();
                 if (useful && safe && retryTokens >= 1) act.cancel(a.ask.request.id(), a.number);
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -149,6 +149,7 @@
     static final class Health {
         double slow = 1;
         double at;
+        int failures; // since the last good answer
     }
 
     /** A host as this gateway sees it. */
