Leave time-outs out of the mean latency by which the bound moves

Cause: an attempt that the network swallowed entered the mean as an answer of 2 to 3 s. Two of them among twenty quick answers counted as queues at the hosts, so the bound was cut beat after beat and requests inside their quota were held until refused, while the hosts answered in 60 ms. Time-outs now count on their own: more of them than answers still cut the bound.

Ruled out: slow hosts (latency by class stayed at its base) and condemned ones (eight of eight counted).

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -105,7 +105,7 @@
     private double startedAt, beatAt, stalled, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
     private double mail, donateGap = WEIGHT_GAP_MS;
     private boolean waited;
-    private int inFlight, answers;
+    private int inFlight, answers, timeOuts;
     private double perHost = BOUND_START;
     private double capacity, turn;
     private double retryTokens = RETRY_MAX / 2;
@@ -729,16 +729,18 @@
     private void adaptBound(double now) {
         if (now - boundAt < BOUND_BEAT_MS) return;
         // Few answers say nothing of the hosts: one in five takes twice its time on idle ones.
-        if (answers > 0 && answers < BOUND_ANSWERS && now - boundAt < BOUND_ANSWERS * BOUND_BEAT_MS) return;
+        int ends = answers + timeOuts;
+        if (ends > 0 && ends < BOUND_ANSWERS && now - boundAt < BOUND_ANSWERS * BOUND_BEAT_MS) return;
         boundAt = now;
-        if (answers > 0) {
+        if (ends > 0) {
+            // A few attempts that the network swallowed say nothing of queues, however long they took.
             boolean stretched = latencySum > STRETCHED * baseSum && aimShareSum > AIM_USED * answers
-                    || aimShareSum > AIM_LOST * answers;
+                    || aimShareSum > AIM_LOST * answers || timeOuts > answers;
             if (stretched) perHost = Math.max(BOUND_MIN, perHost * BOUND_DOWN);
             else if (waited) perHost = Math.min(BOUND_MAX, perHost * BOUND_UP);
         }
         latencySum = baseSum = aimShareSum = 0;
-        answers = 0;
+        answers = timeOuts = 0;
         for (ClassState c : classes.values()) {
             double base = c.samples < BASE_SAMPLES ? c.latencyPerUnit : c.base * BASE_DRIFT;
             c.base = Math.min(base, c.latencyPerUnit);
@@ -955,8 +957,9 @@
             case ERROR, RESET, TIMEOUT -> failed(s.of(c), FAILED_GAIN, now);
             default -> { }
         }
-        if (r.outcome() == Outcome.OK || r.outcome() == Outcome.TIMEOUT) {
-            latencySum += r.latencyMs(); // a time-out is an answer at least that late
+        if (r.outcome() == Outcome.TIMEOUT) timeOuts++;
+        if (r.outcome() == Outcome.OK) {
+            latencySum += r.latencyMs();
             baseSum += c.base * ask.request.units();
             aimShareSum += r.latencyMs() / c.spec.aimMs();
             answers++;
--- a/src/test/java/deckfall/DecisionsTest.java
+++ b/src/test/java/deckfall/DecisionsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Release, weights, host health, determinism and the module's size. */
 class DecisionsTest {
@@ -122,6 +123,42 @@
         assertTrue(g.refused.size() >= 150);
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aFewSilentAttemptsDoNotLookLikeQueuesAtTheHosts(boolean silent) {
+        // Two time-outs of three seconds among twenty quick answers once halved the places within a second.
+        FakeGateway g = FakeGateway.alone().withHosts("a1", "a2", "a3");
+        for (int i = 0; i < 200; i++) {
+            g.ask("r" + i, "read");
+            if (silent && i % 20 == 0) {
+                g.ask("p" + i, "pay");
+                g.end("p" + i, 0, Outcome.TIMEOUT, 2900);
+            }
+            g.pass(30);
+            g.end("r" + i, 0, Outcome.OK, 30);
+        }
+        int before = g.sent.size();
+        for (int i = 0; i < 60; i++) {
+            g.ask("x" + i, "read");
+        }
+        assertEquals(18, g.sent.size() - before);
+    }
+
+    @Test
+    void whereMostAttemptsTimeOutTheHostsGetFewer() {
+        FakeGateway g = FakeGateway.alone().withHosts("a1", "a2", "a3");
+        for (int i = 0; i < 60; i++) {
+            g.ask("p" + i, "pay");
+            g.pass(30);
+            g.end("p" + i, 0, i % 4 == 0 ? Outcome.OK : Outcome.TIMEOUT, 30);
+        }
+        int before = g.sent.size();
+        for (int i = 0; i < 60; i++) {
+            g.ask("x" + i, "read");
+        }
+        assertTrue(g.sent.size() - before < 18);
+    }
+
     @Test
     void aPlaceFreedGoesToAHeldRequest() {
         FakeGateway g = FakeGateway.alone().withHosts("a1");
