Let in by the metered whole store, beside the part's bucket

Cause: where only the meter tells, the part decides alone. A customer whose requests gather on one gateway has spent that bucket, which then fills at the part's share of the rate, and is refused though the answers tell that the others use little and the whole store is nearly full. With peers the module lets in by the told store less a reserve; now it does so with the meter: the store fills at the rate less the others' metered use, and what they may have used since (1.5 rates) is kept back. It refuses nothing.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -23,6 +23,8 @@
     private static final double FRESH_MS = 1000; // a keeper's word this old no longer lets in without asking
     private static final double RELAX_MS = 3000; // and from here on the part is the even one
     private static final double LAG_MS = 60; // a told figure's age on arrival: half a gap and the way
+    private static final double METER_LAG_MS = 1300; // a metered figure's age: half its period and the way
+    private static final double UNTOLD = 1.5; // of the rate: what others may use before the meter tells of it
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
     // Keepers and tells
     private static final double RETRY_MIN_MS = TICK_MS; // shortest wait that a refusal tells
@@ -275,7 +277,7 @@
             int wide = Math.max(1, Math.min(spread, peers.length));
             int[] keepers = State.ranked(id, first, wide, peers.length, KEEPERS);
             c = new Customer(id, plan, p, first, wide, keepers, now);
-            c.level = p.burst();
+            c.level = c.store = p.burst();
             c.tokens = p.burst() / c.spread;
             // The ceiling's store starts with what has filled since this gateway started, never with a burst:
             // before a restart this gateway may have spent it (rule 5).
@@ -308,6 +310,9 @@
         c.useRate *= fade;
         c.touchedAt = now;
         c.level = Math.min(p.burst(), c.level + p.rate() * s);
+        // What is let in beyond the quota takes nothing from the store: others do not empty it below nought.
+        double others = now - c.meterAt < RELAX_MS ? c.meterOthers : 0;
+        c.store = Math.max(0, Math.min(p.burst(), c.store + (p.rate() - others) * s));
         double hold = Math.max(part * p.burst(), Math.min(p.burst(), set.sharing().maxUnits()));
         c.tokens = Math.min(hold, c.tokens + part * p.rate() * s);
         // Units let in but not sent yet are still in the true store, and it may not overfill (rule 5).
@@ -351,7 +356,8 @@
         int keeper = keeper(now, c, 0);
         boolean room = !limited || keeper == set.me() && asks
                 || c.tokens >= units && (!asks || now - c.newsAt < FRESH_MS)
-                || asks && now - c.newsAt < FRESH_MS && c.level - reserve(now, c) >= units;
+                || asks && now - c.newsAt < FRESH_MS && c.level - reserve(now, c) >= units
+                || !asks && now - c.meterAt < FRESH_MS && c.store - untold(now, c) >= units;
         boolean ceiling = p.ceilingRate() <= 0 || c.ceiling >= units; // rule 5: own units need no peer
         if (room && ceiling) return Verdict.IN;
         return asks ? Verdict.ASK : Verdict.OUT;
@@ -364,6 +370,11 @@
         return rate * (now - c.newsAt + LAG_MS) / 1000 * 2 * cost / (1 + cost);
     }
 
+    /** What the others may have used that the meter has not told yet. */
+    private static double untold(double now, Customer c) {
+        return (c.meterOthers + UNTOLD * c.plan.rate()) * (now - c.meterAt + METER_LAG_MS) / 1000;
+    }
+
     private boolean openAdmits(double now, Customer c) {
         int limit = c.plan.openLimit();
         boolean fresh = c.spread == 1 || set.limits().peers()
@@ -386,6 +397,7 @@
     private void charge(Customer c, double units, double ceilingUnits) {
         c.tokens = Math.max(c.tokens - units, -c.plan.burst() / c.spread);
         c.level = Math.max(-c.plan.burst(), Math.min(c.plan.burst(), c.level - units));
+        c.store = Math.max(0, Math.min(c.plan.burst(), c.store - units));
         c.used += units;
         c.useRate += units / DEMAND_MS * 1000;
         c.unsent += ceilingUnits;
@@ -399,6 +411,7 @@
         boolean rises = total < c.plan.rate() && c.demand > part * c.plan.rate();
         c.meterPart = rises ? Math.min(1, Math.max(part, c.meterPart) + EVEN_PRIOR) : part;
         c.meterAt = now;
+        c.meterOthers = Math.max(0, total - c.useRate);
     }
 
     // ---- questions to keepers
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -111,6 +111,8 @@
         boolean informed; // as a keeper: knows what was used before its start
         double meterPart;
         double meterAt = NEVER;
+        double store; // the whole store as the meter tells it
+        double meterOthers; // what the other gateways used a second, as the meter last told
         double useRate;
         int open;
 
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -2,6 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Limits;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Settings;
+import deckfall.Gateway.Sharing;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -238,6 +243,33 @@
         assertEquals(1, g.sends("o9"));
     }
 
+    /** One of three gateways where only the meter tells; five requests have used up its even part of the store. */
+    private static int letInOfFour(int usedPct) {
+        Settings s = FakeGateway.settings(0, 3);
+        Limits alone = new Limits(4, false, true, false, false, true, 500);
+        FakeGateway g = new FakeGateway(1000, new Settings(s.seed(), 0, 3, s.zone(), false, s.classes(), s.plans(),
+                s.reportNames(), alone, s.rules(), new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0)));
+        g.withHosts("a1", "a2", "a3");
+        for (int i = 0; i < 5; i++) {
+            g.pass(i == 4 ? 900 : 0);
+            g.ask("r" + i, "read", "small", 7, 1, 3);
+            g.brain.attemptEnded(g.now, new AttemptResult("r" + i, 0, g.hostOf("r" + i), Outcome.OK, 10, true,
+                    1 + usedPct, 0, new double[0]));
+        }
+        int before = g.sent.size();
+        for (int i = 0; i < 4; i++) {
+            g.ask("x" + i, "read", "small", 7, 1, 3);
+        }
+        return g.sent.size() - before;
+    }
+
+    /** A customer gathered on one gateway was refused there while the whole store was nearly full. */
+    @Test
+    void whatTheMeterShowsUnusedIsLetInBesideThePart() {
+        assertEquals(2, letInOfFour(0));
+        assertEquals(0, letInOfFour(100));
+    }
+
     @Test
     void beyondTheQuotaIsRefusedAtOnce() {
         gateways(1);
