--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -261,6 +261,14 @@
 
     @Override public void counted(double now, String counter, Outcome outcome, double total) { }
 
+    /** Avoided is what the list says not to use, and what has done so badly that others come before it. */
+    @Override public Cluster cluster(double now) {
+        List<Server> listed = servers.values().stream().filter(s -> s.listed).toList();
+        long avoided = listed.stream().filter(s -> !s.open()
+                || classes.values().stream().anyMatch(c -> slowness(now, s, c) >= BAD_ANSWER)).count();
+        return new Cluster(listed.size(), (int) avoided);
+    }
+
     // ---- admission by parts
 
     private enum Verdict { IN, OUT, ASK }
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -66,6 +66,9 @@
     public record AttemptResult(String id, int attempt, String host, Outcome outcome, double latencyMs,
             boolean closed, int usedPct, double trueUnits, double[] report) { }
 
+    /** The hosts as a gateway judges them: how many its list holds, and how many of those it avoids now. */
+    public record Cluster(int size, int unhealthy) { }
+
     /** Everything that a gateway sees; {@code now} is the only clock, in milliseconds. */
     public interface Events {
         void start(double now, Settings settings);
@@ -87,6 +90,9 @@
         void peerSaid(double now, int peer, byte[] data);
 
         void counted(double now, String counter, Outcome outcome, double total);
+
+        /** Asks and tells nothing. */
+        Cluster cluster(double now);
     }
 
     /** Everything that a gateway can do. */
--- a/src/main/java/deckfall/Main.java
+++ b/src/main/java/deckfall/Main.java
@@ -14,7 +14,7 @@
     public static void main(String[] args) throws IOException, InterruptedException {
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
-            case "serve" -> deckfall.net.Node.main(System.getenv("NODE_CONFIG"));
+            case "serve" -> deckfall.net.Node.main(System.getenv("NODE_CONFIG"), System.getenv("NODE_ADMIN_ADDR"));
             case "rehearse" -> deckfall.net.Rehearsal.run();
             case "wirehost" -> deckfall.wire.Main.main(args);
             default -> {
--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -33,6 +33,11 @@
         }
     }
 
+    @Override
+    void written() {
+        node.tally().sent();
+    }
+
     @Override
     void ended(Outcome outcome, FullHttpResponse response) {
         node.attemptEnded(this, outcome, response);
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -297,6 +297,7 @@
                 answer(unknown ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, 0);
             } else if (node.full()) {
                 request.release();
+                node.tally().ended(read.requestClass(), Tally.End.DEFERRED);
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
             } else {
                 requests++;
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -67,6 +67,9 @@
     abstract static class Exchange {
         private HostConnection connection;
 
+        /** Its last byte has left for the host. */
+        void written() { }
+
         /** How it ended; the response, where there is one, is only lent. */
         abstract void ended(Outcome outcome, FullHttpResponse response);
 
@@ -154,7 +157,9 @@
                 return;
             }
             written = f.isSuccess();
-            if (!written) {
+            if (written) {
+                x.written();
+            } else {
                 lost();
                 close();
             }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -3,6 +3,7 @@
 import deckfall.Brain;
 import deckfall.Gateway.Actions;
 import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Cluster;
 import deckfall.Gateway.Events;
 import deckfall.Gateway.Host;
 import deckfall.Gateway.ListKind;
@@ -36,6 +37,7 @@
 public final class Node implements Actions {
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
+    private static final long FIGURES_MS = 100; // how often the figures of the second address are renewed
     private static final double MICROS_PER_MS = 1000;
     private static final double[] NO_REPORT = new double[0];
 
@@ -64,6 +66,9 @@
     private final PeerLink peers;
     private Mail mail;
     private final CountDownLatch drained = new CountDownLatch(1);
+    private final Tally tally;
+    private volatile Figures figures;
+    private volatile boolean listening;
     private boolean telling;
     private boolean serving; // before, what peers say is for the ears of a module that has not begun
     private boolean draining;
@@ -86,6 +91,8 @@
         this.loop = group.next();
         this.lag = new LoopLag(clock, loop);
         this.module = maker.apply(this);
+        this.tally = new Tally(config.settings().classes());
+        this.figures = new Figures(tally.classes(), 0, 0, new Cluster(0, 0));
         this.clients = new ClientServer(this);
         this.hosts = new HostClient(this);
         this.discovery = new Discovery(this);
@@ -94,12 +101,13 @@
     }
 
     /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
-    public static void main(String configFile) {
+    public static void main(String configFile, String adminAddress) {
         plainLogs();
         Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
         try {
-            NodeConfig config = NodeConfig.read(configFile);
+            NodeConfig config = NodeConfig.read(configFile).withAdmin(adminAddress);
             Node node = new Node(config);
+            node.openSecondAddress();
             node.loop.execute(node.peers::start);
             log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, WarmUp.PATIENCE_MS, node::isMissed) + " answers");
             node.start();
@@ -129,6 +137,36 @@
         }
     }
 
+    /** The second address, where there is one; clients are served without it, too. */
+    private void openSecondAddress() {
+        if (config.admin() != null) {
+            try {
+                new AdminServer(config.admin(), config.sockets(), this::isReady, this::figures);
+            } catch (IOException e) {
+                log(e.getMessage());
+            }
+        }
+    }
+
+    /** Whether clients are taken: from the first moment on until the listener closes. */
+    boolean isReady() {
+        return listening;
+    }
+
+    Figures figures() {
+        return figures;
+    }
+
+    Tally tally() {
+        return tally;
+    }
+
+    private void renewFigures() {
+        loop.schedule(this::renewFigures, FIGURES_MS, TimeUnit.MILLISECONDS);
+        long current = open.values().stream().filter(r -> !r.closed()).count();
+        figures = new Figures(tally.classes(), tally.sends(), current, module.cluster(clock.now()));
+    }
+
     /** Whether the fleet serves clients, which would come here, too, rather than wait for this gateway's full speed. */
     boolean isMissed() {
         return loop.submit(peers::hasHeard).syncUninterruptibly().getNow();
@@ -142,7 +180,8 @@
         if (config.known().hasNonNull(Discovery.LIST)) {
             hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
         }
-        return clients.start();
+        renewFigures();
+        return clients.start().addListener(f -> listening = f.isSuccess());
     }
 
     /**
@@ -245,7 +284,7 @@
         endAttempts(r);
         if (!r.closed()) {
             log("defect: no answer from the module in time, request failed");
-            answer(r, HttpResponseStatus.GATEWAY_TIMEOUT, 0);
+            answer(r, Tally.End.ERRORED, HttpResponseStatus.GATEWAY_TIMEOUT, 0);
         }
     }
 
@@ -262,7 +301,7 @@
         if (r.closed()) {
             return;
         }
-        r.close();
+        r.close(tally, Tally.End.ERRORED);
         tell((now, m) -> m.clientLeft(now, r.request.id()));
         forgetIfOver(r);
     }
@@ -277,7 +316,7 @@
         OpenRequest r = a.owner;
         r.out--;
         if (outcome == Outcome.OK) {
-            ClientServer.Connection client = r.close();
+            ClientServer.Connection client = r.close(tally, Tally.End.ANSWERED);
             if (client != null) {
                 client.serve(response);
             }
@@ -354,16 +393,16 @@
 
     @Override
     public void refuse(String id, double retryAfterMs) {
-        answer(open.get(id), HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterMs);
+        answer(open.get(id), Tally.End.DEFERRED, HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterMs);
     }
 
     @Override
     public void fail(String id) {
-        answer(open.get(id), HttpResponseStatus.BAD_GATEWAY, 0);
+        answer(open.get(id), Tally.End.ERRORED, HttpResponseStatus.BAD_GATEWAY, 0);
     }
 
-    private void answer(OpenRequest r, HttpResponseStatus status, double retryAfterMs) {
-        ClientServer.Connection client = r == null ? null : r.close();
+    private void answer(OpenRequest r, Tally.End end, HttpResponseStatus status, double retryAfterMs) {
+        ClientServer.Connection client = r == null ? null : r.close(tally, end);
         if (client != null) {
             client.answer(status, retryAfterMs);
         }
@@ -419,6 +458,7 @@
     }
 
     ChannelFuture stopAccepting() {
+        listening = false;
         return clients.stopAccepting();
     }
 
@@ -437,7 +477,7 @@
         }
         for (OpenRequest r : List.copyOf(open.values())) {
             if (!r.closed()) { // still held
-                answer(r, HttpResponseStatus.BAD_GATEWAY, 0);
+                answer(r, Tally.End.ERRORED, HttpResponseStatus.BAD_GATEWAY, 0);
             }
         }
     }
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -20,8 +20,8 @@
 import java.util.TreeMap;
 
 /** What this api gateway was told at its start; anything missing or malformed is a {@link BadConfig}. */
-record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress peerListen,
-        List<InetSocketAddress> peers, InetSocketAddress peersAll, int sockets, JsonNode known, Settings settings,
+record NodeConfig(InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
+        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, int sockets, JsonNode known, Settings settings,
         double connectTimeoutMs, double idleMs, int maxOpen) {
     private static final int PORT_MAX = 65_535;
     private static final int HEX = 16;
@@ -52,6 +52,19 @@
         }
     }
 
+    /** With a second address that was told to this process alone, where it was told one. */
+    NodeConfig withAdmin(String address) throws BadConfig {
+        if (address == null || address.isEmpty()) {
+            return this;
+        }
+        try {
+            return new NodeConfig(listen, address(address), discovery, peerListen, peers, peersAll, sockets, known,
+                    settings, connectTimeoutMs, idleMs, maxOpen);
+        } catch (IllegalArgumentException e) {
+            throw new BadConfig("NODE_ADMIN_ADDR: " + e.getMessage());
+        }
+    }
+
     static NodeConfig of(JsonNode root) {
         if (!root.isObject()) {
             throw new IllegalArgumentException("not a JSON object");
@@ -66,8 +79,9 @@
             peers.add(address(peer.asText()));
         }
         boolean mail = settings.limits().peers() && root.hasNonNull("peer_listen");
-        return new NodeConfig(address(text(root, "listen")), address(text(root, "discovery")),
-                mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
+        return new NodeConfig(address(text(root, "listen")),
+                root.hasNonNull("admin_addr") ? address(text(root, "admin_addr")) : null,
+                address(text(root, "discovery")), mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
                 root.hasNonNull("peers_all") ? address(text(root, "peers_all")) : null,
                 root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS), root.path("known"), settings,
                 fields.number("limits.connect_timeout_ms", DEFAULT_CONNECT_MS),
--- a/src/main/java/deckfall/net/OpenRequest.java
+++ b/src/main/java/deckfall/net/OpenRequest.java
@@ -27,8 +27,11 @@
     }
 
     /** The client to answer, for the one caller that ends the request; null for all later ones (rule 1). */
-    ClientServer.Connection close() {
+    ClientServer.Connection close(Tally tally, Tally.End end) {
         ClientServer.Connection owed = client;
+        if (!closed) {
+            tally.ended(request.requestClass(), end);
+        }
         closed = true;
         client = null;
         return owed;
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -44,7 +44,8 @@
         NodeConfig config = NodeConfig.of(JsonTree.read(
                 new ByteArrayInputStream(CONFIG.formatted(address).getBytes(StandardCharsets.UTF_8))));
         Node node = new Node(config);
-        try {
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try (AdminServer admin = new AdminServer(any, config.sockets(), node::isReady, node::figures)) {
             if (WarmUp.run(config, WarmUp.ENOUGH, BUILD_PATIENCE_MS, () -> false) < WarmUp.ENOUGH) {
                 throw new IOException("the warm-up came to a halt");
             }
@@ -52,6 +53,9 @@
             ask(at, "/healthz", "0", 1);
             ask(at, "/view/alone", "1", 1);
             ask(at, "/view/shared", "2", 2);
+            InetSocketAddress second = new InetSocketAddress(any.getAddress(), admin.port());
+            ask(second, "/api/ready", "3", 1);
+            ask(second, "/api/telemetry", "4", 1);
         } finally {
             node.stop(); // or a build would never end
         }
--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -163,7 +163,7 @@
                 sharing.zonePrice());
         Settings settings = new Settings(s.seed(), me, 2, s.zone(), false, s.classes(), s.plans(), s.reportNames(),
                 s.limits(), s.rules(), quick);
-        return new NodeConfig(address(me), null, null, List.of(), null, config.sockets(), MissingNode.getInstance(),
+        return new NodeConfig(address(me), null, null, null, List.of(), null, config.sockets(), MissingNode.getInstance(),
                 settings, config.connectTimeoutMs(), config.idleMs(), config.maxOpen());
     }
 
--- /dev/null
+++ b/src/test/java/deckfall/net/AdminServerTest.java
@@ -0,0 +1,148 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.order;
+import static deckfall.net.Sockets.view;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Message;
+import deckfall.net.Sockets.Server;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The second address: who asks it, and what it says of the node. */
+class AdminServerTest extends SocketTest {
+    private static final int FEW_SOCKETS = 100; // room for the fewest callers
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    private AdminServer admin(Node node) throws IOException {
+        return kept(new AdminServer(ANY, FEW_SOCKETS, node::isReady, node::figures));
+    }
+
+    private static Socket open(AdminServer admin) throws IOException {
+        Socket s = new Socket(ANY.getAddress(), admin.port());
+        s.setSoTimeout(Sockets.PATIENCE_MS);
+        return s;
+    }
+
+    private static Message call(AdminServer admin, String line) throws IOException {
+        try (Socket s = open(admin)) {
+            s.getOutputStream().write(Sockets.bytes(line + " HTTP/1.1\r\nHost: h\r\n\r\n"));
+            Message answer = Sockets.read(s.getInputStream());
+            assertEquals(-1, s.getInputStream().read(), "one call to a connection");
+            return answer;
+        }
+    }
+
+    private static void awaitFigure(AdminServer admin, String line) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (!call(admin, "GET /api/telemetry").text().lines().toList().contains(line)) {
+            assertTrue(System.nanoTime() < end, "never told: " + line);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET /api/ready,200", "GET /api/telemetry,200", "GET /api/ready?now=1,200", "POST /api/ready,405",
+        "DELETE /api/telemetry,405", "GET /api/ready/,404", "GET /,404", "POST /none,404", "GET  x  y z,400"})
+    void answersExactlyItsCalls(String line, int status) throws Exception {
+        assertEquals(status, call(admin(nodeBefore()), line).status());
+    }
+
+    @Test
+    void isReadyFromTheListenersStartToItsClose() throws Exception {
+        registry = kept(new Sockets.Registry(Sockets.list(1, true)));
+        Node node = new Node(NodeConfig.of(new com.fasterxml.jackson.databind.ObjectMapper()
+                .readTree(Sockets.config(registry.server.address(), "127.0.0.1:0"))));
+        ends.push(node::stop);
+        AdminServer admin = admin(node);
+        assertEquals(503, call(admin, "GET /api/ready").status());
+        node.start();
+        assertEquals(200, call(admin, "GET /api/ready").status());
+        node.loop.submit(node::stopAccepting).sync();
+        assertEquals(503, call(admin, "GET /api/ready").status());
+    }
+
+    @Test
+    void countsEachRequestOnceByItsEnd() throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        Server host = host((m, s) -> {
+            if (m.start().contains("/view/held")) {
+                told.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            }
+            if (m.start().startsWith("POST")) {
+                s.close();
+                return;
+            }
+            echo(m, s);
+        });
+        Node node = nodeBefore(host);
+        AdminServer admin = admin(node);
+        Client c = client(node);
+        String tiny = view("t", Sockets.PATIENCE_MS).replace("X-Plan: free", "X-Plan: tiny")
+                .replace("b4d65521", "b4d65522");
+        assertEquals(200, c.send(tiny).receive().status());
+        assertEquals(429, c.send(tiny).receive().status());
+        assertEquals(502, c.send(order("o", "b")).receive().status()); // three attempts
+        Client held = client(node).send(view("held", Sockets.PATIENCE_MS));
+        awaitFigure(admin, "app_current 1");
+        awaitFigure(admin, "app_sends_total 5");
+        awaitFigure(admin, "app_transactions_total{group=\"view\",state=\"answered\"} 1");
+        awaitFigure(admin, "app_transactions_total{group=\"view\",state=\"deferred\"} 1");
+        awaitFigure(admin, "app_transactions_total{group=\"order\",state=\"errored\"} 1");
+        awaitFigure(admin, "app_cluster_size 1");
+        told.countDown();
+        assertEquals(200, held.receive().status());
+        awaitFigure(admin, "app_current 0");
+        awaitFigure(admin, "app_transactions_total{group=\"view\",state=\"answered\"} 2");
+    }
+
+    @Test
+    void callersThatSayNothingKeepNobodyOut() throws Exception {
+        AdminServer admin = admin(nodeBefore());
+        Socket[] silent = new Socket[20];
+        for (int i = 0; i < silent.length; i++) {
+            silent[i] = kept(open(admin));
+            silent[i].getOutputStream().write(Sockets.bytes("GET /api/re"));
+        }
+        assertEquals(200, call(admin, "GET /api/ready").status());
+        for (Socket s : silent) {
+            assertNull(ended(s));
+        }
+    }
+
+    private static Message ended(Socket s) {
+        try {
+            return Sockets.read(s.getInputStream());
+        } catch (IOException reset) {
+            return null;
+        }
+    }
+
+    /** What its thread answers from was made before, so a loop that stands still delays no call. */
+    @Test
+    void answersWhileTheLoopOfClientsStandsStill() throws Exception {
+        Node node = nodeBefore();
+        AdminServer admin = admin(node);
+        CountDownLatch released = new CountDownLatch(1);
+        node.loop.execute(() -> {
+            try {
+                released.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertEquals(200, call(admin, "GET /api/ready").status());
+        assertEquals(200, call(admin, "GET /api/telemetry").status());
+        assertEquals(1, released.getCount());
+        released.countDown();
+    }
+}
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -18,6 +18,7 @@
 
 import deckfall.Gateway.Actions;
 import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Cluster;
 import deckfall.Gateway.Effect;
 import deckfall.Gateway.Events;
 import deckfall.Gateway.Host;
@@ -496,6 +497,11 @@
 
         @Override
         public void counted(double now, String counter, Outcome outcome, double total) { }
+
+        @Override
+        public Cluster cluster(double now) {
+            return new Cluster(0, 0);
+        }
     }
 
     private Node scripted(Function<Actions, Events> module) throws IOException {
