--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -16,6 +16,7 @@
     private static final double FORGET_MS = 20_000; // idle so long a customer is forgotten, and not before
     private static final double FILLED = 2; // times the time in which its slowest store fills from nothing
     private static final int CUSTOMERS_MAX = 20_000; // books kept; a new customer beyond them is refused
+    private static final int BOOKS_MAX = 4000; // customers of whom the next process is told, the latest
     private static final double CLOCKS_APART_MS = 60_000; // a life that begins later than this is no life
     // Admission by parts
     private static final double DEMAND_MS = 2000; // averaging of demand: longer than gaps between requests
@@ -269,6 +270,74 @@
         return new Cluster(listed.size(), (int) avoided);
     }
 
+    // ---- from one process to the next
+
+    @Override public Books books(double now) {
+        List<Customer> known = new ArrayList<>(customers.values());
+        known.sort(Comparator.comparingDouble(c -> -c.touchedAt));
+        List<CustomerBook> books = new ArrayList<>();
+        for (Customer c : known.subList(0, Math.min(BOOKS_MAX, known.size()))) {
+            touch(now, c);
+            books.add(new CustomerBook(c.id, c.plan.name(), c.first, c.spread, c.level, c.tokens, c.store,
+                    c.demand, c.used, c.useRate, c.meterPart, c.meterAt, c.meterOthers));
+        }
+        List<HealthBook> health = new ArrayList<>();
+        servers.values().stream().filter(s -> s.listed).forEach(s -> s.writeHealth(health));
+        List<ClassBook> delays = classes.values().stream().map(c -> new ClassBook(c.spec.name(), c.weight,
+                c.latencyPerUnit, c.base, c.samples, c.delay, c.slope)).toList();
+        return new Books(now, perHost, books, health, delays);
+    }
+
+    /** Before the first request all is taken over; from then on only what the other process still uses. */
+    @Override public void inherited(double now, Books books) {
+        for (CustomerBook b : books.customers()) inherit(now, books.at(), b);
+        if (!asks.isEmpty() || classes.values().stream().anyMatch(c -> c.samples > 0)) return;
+        perHost = Math.max(BOUND_MIN, Math.min(BOUND_MAX, books.perHost()));
+        for (HealthBook b : books.health()) {
+            Server s = servers.get(b.host());
+            if (s == null || !b.requestClass().isEmpty() && !classes.containsKey(b.requestClass())) continue;
+            Health h = s.of(b.requestClass());
+            h.slow = Math.max(0, Math.min(SLOW_MAX, b.slow()));
+            h.at = Math.min(now, b.at());
+            h.failures = b.failures();
+        }
+        List<String> named = books.classes().stream().map(ClassBook::name).toList();
+        if (!named.equals(List.copyOf(classes.keySet()))) return; // weights hold for all or for none
+        for (ClassBook b : books.classes()) {
+            ClassState c = classes.get(b.name());
+            c.weight = b.weight();
+            c.latencyPerUnit = b.latencyPerUnit();
+            c.base = b.base();
+            c.samples = b.samples();
+            c.delay = b.delay();
+            c.slope = b.slope();
+        }
+    }
+
+    private void inherit(double now, double at, CustomerBook b) {
+        boolean known = customers.containsKey(b.customer());
+        Integer plan = planNumbers.get(b.plan());
+        Customer c = plan == null ? null : customer(now, b.customer(), plan, b.first(), b.spread());
+        if (c == null || c.planNumber != plan) return;
+        if (known && c.inherited > State.NEVER) {
+            charge(c, Math.max(0, b.used() - c.inherited), 0);
+        } else { // what both count from a full store is in the other's books alone
+            double spent = known ? c.used : 0;
+            c.level = Math.max(-c.plan.burst(), Math.min(c.plan.burst(), b.level()) - spent);
+            c.tokens = Math.min(c.plan.burst(), b.tokens()) - spent;
+            c.store = Math.max(0, Math.min(c.plan.burst(), b.store()) - spent);
+            c.demand += b.demand();
+            c.useRate += b.useRate();
+            c.meterPart = b.meterPart();
+            c.meterOthers = b.meterOthers();
+            c.meterAt = Math.min(now, b.meterAt());
+            c.informed = true;
+            if (!known) c.touchedAt = Math.min(now, at);
+            touch(now, c);
+        }
+        c.inherited = Math.max(c.inherited, b.used());
+    }
+
     // ---- admission by parts
 
     private enum Verdict { IN, OUT, ASK }
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -69,6 +69,21 @@
     /** The hosts as a gateway judges them: how many its list holds, and how many of those it avoids now. */
     public record Cluster(int size, int unhealthy) { }
 
+    /** What a gateway's next process is to know of its customers, hosts and classes; times are of the clock that both share. */
+    public record Books(double at, double perHost, List<CustomerBook> customers, List<HealthBook> health,
+            List<ClassBook> classes) { }
+
+    /** A customer's stores and meter; {@code used} is a running total. */
+    public record CustomerBook(long customer, String plan, int first, int spread, double level, double tokens,
+            double store, double demand, double used, double useRate, double meterPart, double meterAt,
+            double meterOthers) { }
+
+    /** The health of a host, for one class or, where its name is empty, for all. */
+    public record HealthBook(String host, String requestClass, double slow, double at, int failures) { }
+
+    public record ClassBook(String name, double weight, double latencyPerUnit, double base, int samples, double delay,
+            double slope) { }
+
     /** Everything that a gateway sees; {@code now} is the only clock, in milliseconds. */
     public interface Events {
         void start(double now, Settings settings);
@@ -91,8 +106,13 @@
 
         void counted(double now, String counter, Outcome outcome, double total);
 
-        /** Asks and tells nothing. */
+        /** What the process before this one knew, as of its latest word; it may go on using what both share. */
+        void inherited(double now, Books books);
+
+        /** Asks and tells nothing, as does the next. */
         Cluster cluster(double now);
+
+        Books books(double now);
     }
 
     /** Everything that a gateway can do. */
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -1,5 +1,6 @@
 package deckfall;
 
+import deckfall.Gateway.HealthBook;
 import deckfall.Gateway.Host;
 import deckfall.Gateway.HostState;
 import deckfall.Gateway.Plan;
@@ -105,6 +106,7 @@
         double others; // demand of the other gateways
         int othersOpen;
         double used;
+        double inherited = NEVER; // of what the process before this one used in all, charged here already
         double unsent; // ceiling units let in whose requests have not left yet
         double newsAt = NEVER; // when a keeper last told
         double toldAt = NEVER;
@@ -169,7 +171,17 @@
         }
 
         Health of(ClassState c) {
-            return byClass.computeIfAbsent(c.spec.name(), n -> new Health());
+            return of(c.spec.name());
+        }
+
+        /** For one class, or where its name is empty for all. */
+        Health of(String requestClass) {
+            return requestClass.isEmpty() ? health : byClass.computeIfAbsent(requestClass, n -> new Health());
+        }
+
+        void writeHealth(List<HealthBook> to) {
+            to.add(new HealthBook(info.id(), "", health.slow, health.at, health.failures));
+            byClass.forEach((c, h) -> to.add(new HealthBook(info.id(), c, h.slow, h.at, h.failures)));
         }
 
         boolean open() {
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -47,13 +47,11 @@
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // those that ask again and again
     /** Who gives way first; in each set the longest idle stands first. */
     private final List<LinkedHashSet<Connection>> givingWay = List.of(unused, casual, idle);
-    private final int maxConnections;
     private Channel listener;
 
     ClientServer(Node node) {
         this.node = node;
         this.terms = new RequestTerms(node.config.settings());
-        this.maxConnections = (int) (node.config.sockets() * SOCKET_SHARE);
     }
 
     /** Clients are served once this is done. */
@@ -73,7 +71,7 @@
     }
 
     ChannelFuture stopAccepting() {
-        return listener.close();
+        return Transport.stopAccepting(listener);
     }
 
     /** Ends every connection on which nothing is asked. */
@@ -91,6 +89,10 @@
         return listener;
     }
 
+    private int maxConnections() {
+        return (int) (node.sockets() * SOCKET_SHARE);
+    }
+
     // ---- which connections stay
 
     /** Silence, and a request that does not get on, end here; so do idle connections, sooner where there are many. */
@@ -102,7 +104,7 @@
                 c.timeOut();
             }
         }
-        boolean pressed = connections.size() > maxConnections * PRESSED_SHARE;
+        boolean pressed = connections.size() > maxConnections() * PRESSED_SHARE;
         closeIdle(casual, now - GIVES_WAY_MS);
         closeIdle(idle, now - (pressed ? GIVES_WAY_MS : IDLE_MS));
     }
@@ -171,7 +173,7 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            if (connections.size() >= maxConnections && !makeRoom()) {
+            if (connections.size() >= maxConnections() && !makeRoom()) {
                 ended = true;
                 channel.close();
                 return;
@@ -285,7 +287,7 @@
             keepAlive = HttpUtil.isKeepAlive(request);
             if (request.uri().equals(READY)) {
                 request.release();
-                answer(node.draining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
+                answer(node.ending() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
                 return;
             }
             double now = node.clock.now();
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -40,12 +40,10 @@
     private final Node node;
     private final Map<String, Pool> pools = new LinkedHashMap<>();
     private final Bootstrap bootstrap;
-    private final int maxConnections;
     private int connections;
 
     HostClient(Node node) {
         this.node = node;
-        this.maxConnections = (int) (node.config.sockets() * SOCKET_SHARE);
         this.bootstrap = node.transport.client(node.loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, node.config.connectTimeoutMs()));
         node.loop.schedule(this::closeIdle, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -126,7 +124,7 @@
 
     /** Makes room for one more connection at the cost of one that is idle somewhere. */
     private boolean room() {
-        if (connections < maxConnections) {
+        if (connections < (int) (node.sockets() * SOCKET_SHARE)) {
             return true;
         }
         for (Pool pool : pools.values()) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -3,6 +3,7 @@
 import deckfall.Brain;
 import deckfall.Gateway.Actions;
 import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Books;
 import deckfall.Gateway.Cluster;
 import deckfall.Gateway.Events;
 import deckfall.Gateway.Host;
@@ -24,6 +25,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.logging.Handler;
@@ -34,7 +36,7 @@
  * One api gateway: the event loop on which everything runs, the clock, the timers, the decision module and the
  * table of open requests. It carries out what the module decides and tells it what came of it.
  */
-public final class Node implements Actions {
+public final class Node implements Actions, Succession.Party {
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final long FIGURES_MS = 100; // how often the figures of the second address are renewed
@@ -71,8 +73,9 @@
     private volatile boolean listening;
     private boolean telling;
     private boolean serving; // before, what peers say is for the ears of a module that has not begun
-    private boolean draining;
-    private boolean closing; // in a drain: connections end with their next answer
+    private boolean beside; // another process of this gateway runs, within the same limits
+    private boolean ending; // in a drain that leaves nobody at this address
+    private boolean closing; // in a drain: all connections end with their next answer
     private boolean over; // the drain's time is up: nothing more is sent
 
     Node(NodeConfig config) {
@@ -109,9 +112,13 @@
             Node node = new Node(config);
             node.openSecondAddress();
             node.loop.execute(node.peers::start);
-            log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, WarmUp.PATIENCE_MS, node::isMissed) + " answers");
-            node.start();
-            Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
+            Succession succession = new Succession(node, System.getenv("TMPDIR"), node.clock);
+            succession.begin();
+            log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, succession.warmUpMs(WarmUp.PATIENCE_MS),
+                    node::isMissed) + " answers");
+            node.start(succession.left());
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> node.drainAndHalt(succession)));
+            succession.serving();
             reload.follow(node);
         } catch (NodeConfig.BadConfig | IOException | InterruptedException e) {
             System.err.println("deckfall: " + e.getMessage());
@@ -121,13 +128,18 @@
 
     /** Returns once clients are served. */
     void start() throws IOException {
+        start(null);
+    }
+
+    /** With what another process of this gateway left, or null. */
+    private void start(Books left) throws IOException {
         try {
             loop.submit(() -> {
                 if (!peers.started()) {
                     peers.start();
                 }
                 discovery.start();
-                return listen();
+                return listen(left);
             }).sync().getNow().sync();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -174,12 +186,20 @@
 
     /** Begins to serve, on the event loop, with the hosts that the configuration names. */
     ChannelFuture listen() {
+        return listen(null);
+    }
+
+    private ChannelFuture listen(Books left) {
         serving = true;
         lag.start();
         tell((now, m) -> m.start(now, config.settings()));
         if (config.known().hasNonNull(Discovery.LIST)) {
             hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
         }
+        if (left != null) {
+            log("takes over the books of " + left.customers().size() + " customers");
+            tell((now, m) -> m.inherited(now, left));
+        }
         renewFigures();
         return clients.start().addListener(f -> listening = f.isSuccess());
     }
@@ -222,6 +242,23 @@
         System.err.println(line);
     }
 
+    // ---- the turn from one process to the next
+
+    @Override
+    public Books books() throws InterruptedException, ExecutionException {
+        return loop.submit(() -> module.books(clock.now())).get();
+    }
+
+    @Override
+    public void inherit(Books books) {
+        loop.execute(() -> tell((now, m) -> m.inherited(now, books)));
+    }
+
+    @Override
+    public void beside(boolean other) {
+        loop.execute(() -> beside = other);
+    }
+
     // ---- telling the module
 
     /**
@@ -248,8 +285,14 @@
         }
     }
 
-    boolean draining() {
-        return draining;
+    /** Whether nobody will serve at this address soon. */
+    boolean ending() {
+        return ending;
+    }
+
+    /** The descriptors that this process may use: half, while another shares them. */
+    int sockets() {
+        return beside ? config.sockets() / 2 : config.sockets();
     }
 
     boolean closing() {
@@ -438,8 +481,8 @@
 
     // ---- the end
 
-    private void drainAndHalt() {
-        loop.execute(this::drain);
+    private void drainAndHalt(Succession succession) {
+        loop.execute(succession.isSucceeded() ? this::giveWay : this::drain);
         try {
             awaitDrained(EXIT_MS);
         } catch (InterruptedException e) {
@@ -450,13 +493,23 @@
 
     /** Accepts and serves on for a while, since clients still come; answers all; then lets the process end. */
     void drain() {
-        draining = true;
+        ending = true;
         DrainTimes times = DrainTimes.of(config.settings().classes());
         loop.schedule(this::stopAccepting, times.acceptMs(), TimeUnit.MILLISECONDS);
         loop.schedule(this::stopServing, times.serveMs(), TimeUnit.MILLISECONDS);
         loop.schedule(this::endAll, times.endMs(), TimeUnit.MILLISECONDS);
     }
 
+    /** Another process serves at this address: takes nobody more, and leaves once nobody is connected. */
+    void giveWay() {
+        log("gives way to its successor");
+        closing = true;
+        stopAccepting().addListener(f -> awaitEmpty()); // those who waited are taken by then
+        DrainTimes times = DrainTimes.of(config.settings().classes());
+        loop.schedule(this::stopServing, times.serveMs(), TimeUnit.MILLISECONDS);
+        loop.schedule(this::endAll, times.endMs(), TimeUnit.MILLISECONDS);
+    }
+
     ChannelFuture stopAccepting() {
         listening = false;
         return clients.stopAccepting();
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ExecutionException;
 
 /**
  * One short life of a node that is its own host, peer and discovery, so that each part runs once. The build keeps
@@ -56,6 +57,11 @@
             InetSocketAddress second = new InetSocketAddress(any.getAddress(), admin.port());
             ask(second, "/api/ready", "3", 1);
             ask(second, "/api/telemetry", "4", 1);
+            if (BooksFormat.read(BooksFormat.write(node.books())) == null) {
+                throw new IOException("books can't be read");
+            }
+        } catch (ExecutionException e) {
+            throw new IOException(e);
         } finally {
             node.stop(); // or a build would never end
         }
--- a/src/main/java/deckfall/net/Transport.java
+++ b/src/main/java/deckfall/net/Transport.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -10,18 +11,20 @@
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 
 /** What carries a node's connections: TCP, or for its warm-up the process's own memory, which nobody else can reach. */
 enum Transport {
     TCP {
         @Override
         ServerBootstrap server(EventLoopGroup group) {
-            return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            return new ServerBootstrap().group(group).channelFactory(DrainableListener::new)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                    .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                     .childOption(ChannelOption.TCP_NODELAY, true);
         }
 
@@ -61,6 +64,12 @@
 
     abstract SocketAddress at(InetSocketAddress address);
 
+    /** Closes a listener; over TCP only once all that wait in its queue are taken. */
+    static ChannelFuture stopAccepting(Channel listener) {
+        return listener instanceof DrainableListener ? ((DrainableListener) listener).emptyAndClose()
+                : listener.close();
+    }
+
     /** Reads what stands unread in a socket before the loop comes to it; in memory nothing stands unread. */
     static void readNow(Channel channel) {
         if (channel.unsafe() instanceof NioUnsafe) {
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -18,6 +18,7 @@
 
 import deckfall.Gateway.Actions;
 import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Books;
 import deckfall.Gateway.Cluster;
 import deckfall.Gateway.Effect;
 import deckfall.Gateway.Events;
@@ -433,6 +434,45 @@
         assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
     }
 
+    /** Closing the listener resets who stands in its queue: they come while the loop is busy. */
+    @Test
+    void whoWaitsAtTheDoorIsServedBeforeANodeGivesWay() throws Exception {
+        Node node = nodeBefore(host(SocketTest::echo));
+        CountDownLatch came = new CountDownLatch(1);
+        node.loop.execute(() -> {
+            try {
+                came.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        List<Client> waiting = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            waiting.add(client(node).send(view("w" + i, Sockets.PATIENCE_MS)));
+        }
+        node.loop.execute(node::giveWay);
+        came.countDown();
+        for (Client c : waiting) {
+            Message answer = c.receive();
+            assertEquals(200, answer.status());
+            assertEquals("close", answer.header("Connection"));
+            assertNull(c.receive());
+        }
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
+    /** The next process of a gateway takes clients before the last one leaves. */
+    @Test
+    void twoNodesTakeClientsAtOneAddress() throws Exception {
+        Node first = nodeBefore(host(SocketTest::echo));
+        Node second = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"listen\": \"127.0.0.1:0\"", "\"listen\": \"127.0.0.1:" + first.port() + "\""));
+        ends.push(second::stop);
+        first.loop.submit(first::giveWay).sync();
+        assertTrue(first.awaitDrained(Sockets.PATIENCE_MS));
+        assertEquals("for v ", client(second).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+    }
+
     private static RequestClass timed(double aimMs, double deadlineMs) {
         return new RequestClass("c" + aimMs, Effect.REPEATABLE, Scope.ALL, 0, aimMs, deadlineMs, 1, 0, false);
     }
@@ -498,6 +538,14 @@
         @Override
         public void counted(double now, String counter, Outcome outcome, double total) { }
 
+        @Override
+        public void inherited(double now, Books books) { }
+
+        @Override
+        public Books books(double now) {
+            return new Books(now, 1, List.of(), List.of(), List.of());
+        }
+
         @Override
         public Cluster cluster(double now) {
             return new Cluster(0, 0);
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -1,6 +1,7 @@
 package deckfall.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.net.Sockets.Message;
@@ -34,21 +35,30 @@
     }
 
     private void start(String config) throws IOException {
+        process = launch(config, "log");
+    }
+
+    private Process launch(String config, String log) throws IOException {
         Path file = Files.writeString(dir.resolve("config.json"), config);
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"", java,
                 "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "deckfall.Main", "serve");
         b.environment().put("NODE_CONFIG", file.toString());
-        process = b.redirectOutput(ProcessBuilder.Redirect.DISCARD)
-                .redirectError(dir.resolve("log").toFile()).start();
+        b.environment().put("TMPDIR", Files.createDirectories(dir.resolve("shared")).toString());
+        return b.redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .redirectError(dir.resolve(log).toFile()).start();
     }
 
     private void startServing() throws Exception {
+        choosePort();
+        start(config("127.0.0.1:1"));
+        awaitReady();
+    }
+
+    private void choosePort() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
-        start(config("127.0.0.1:1"));
-        awaitReady();
     }
 
     private String config(String discovery) {
@@ -138,6 +148,38 @@
         }
     }
 
+    private static void awaitLine(Path log, String part) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (!Files.exists(log) || !Files.readString(log).contains(part)) {
+            assertTrue(System.nanoTime() < end, "not logged: " + part);
+            Thread.sleep(20);
+        }
+    }
+
+    /** Each once found the address in use. The first file is torn, and a second SIGTERM changes nothing. */
+    @Test
+    void oneProcessAfterTheOtherTakesOverTheAddress() throws Exception {
+        Path shared = Files.createDirectories(dir.resolve("shared"));
+        Files.write(shared.resolve("caperrudder-books"), new byte[] {1, 2, 3});
+        Files.writeString(shared.resolve("caperrudder-claim"), "1 12");
+        startServing();
+        for (String log : List.of("second", "third")) {
+            Process old = process;
+            Files.deleteIfExists(shared.resolve("caperrudder-books"));
+            process = launch(config("127.0.0.1:1"), log);
+            awaitLine(dir.resolve(log), "takes over the books");
+            awaitLine(shared.resolve("caperrudder-claim"), process.pid() + " true");
+            old.destroy();
+            old.destroy();
+            assertTrue(old.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertEquals(0, old.exitValue());
+            assertTrue(ready());
+        }
+        awaitLine(dir.resolve("log"), "gives way to its successor");
+        awaitLine(dir.resolve("second"), "gives way to its successor");
+        assertFalse(Files.readString(dir.resolve("log")).contains("takes over"));
+    }
+
     @Test
     void aBadConfigurationEndsItWithOneLine() throws Exception {
         start("{\"name\": \"n0\"}");
--- /dev/null
+++ b/src/test/java/deckfall/net/SuccessionTest.java
@@ -0,0 +1,158 @@
+package deckfall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.Gateway.Books;
+import deckfall.Gateway.ClassBook;
+import deckfall.Gateway.CustomerBook;
+import deckfall.Gateway.HealthBook;
+import deckfall.net.HandoverFiles.Claim;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the processes of one gateway leave each other. */
+class SuccessionTest {
+    private static final long LONGEST_MS = 8000;
+
+    @TempDir
+    private Path dir;
+    private final Clock clock = new Clock();
+    private final BlockingQueue<Books> taken = new LinkedBlockingQueue<>();
+    private volatile boolean beside;
+    private Process other; // a process that lives
+    private HandoverFiles files;
+
+    @BeforeEach
+    void open() throws Exception {
+        other = new ProcessBuilder("sleep", "600").start();
+        files = new HandoverFiles(dir);
+    }
+
+    @AfterEach
+    void end() {
+        other.destroyForcibly();
+    }
+
+    private Books books(double at) {
+        return new Books(at, 7, List.of(new CustomerBook(5, "p", 1, 2, 1, 2, 3, 4, 5, 6, 7, 8, 9)),
+                List.of(new HealthBook("h", "", 2, 3, 4), new HealthBook("h", "c", 2, 3, 4)),
+                List.of(new ClassBook("c", 1, 2, 3, 4, 5, 6)));
+    }
+
+    private Succession succession() {
+        return new Succession(new Succession.Party() {
+            @Override
+            public Books books() {
+                return SuccessionTest.this.books(clock.now());
+            }
+
+            @Override
+            public void inherit(Books books) {
+                taken.add(books);
+            }
+
+            @Override
+            public void beside(boolean process) {
+                beside = process;
+            }
+        }, dir.toString(), clock);
+    }
+
+    @Test
+    void booksComeBackAsTheyWereAndTornOnesNotAtAll() throws Exception {
+        Books b = books(12.5);
+        byte[] bytes = BooksFormat.write(b);
+        assertEquals(b, BooksFormat.read(bytes));
+        for (int length = 0; length < bytes.length; length++) {
+            assertNull(BooksFormat.read(Arrays.copyOf(bytes, length)), "torn at " + length);
+        }
+        for (int at = 0; at < bytes.length; at++) {
+            byte[] damaged = bytes.clone();
+            damaged[at] ^= 0x10;
+            assertNull(BooksFormat.read(damaged), "damaged at " + at);
+        }
+    }
+
+    @Test
+    void withoutAFolderOrAnotherProcessAllIsAsEver() {
+        Succession none = new Succession(null, "", clock);
+        assertNull(none.left());
+        assertFalse(none.isSucceeded());
+        Succession alone = succession();
+        alone.begin();
+        assertEquals(LONGEST_MS, alone.warmUpMs(LONGEST_MS));
+        assertFalse(beside);
+        assertNull(alone.left());
+        alone.serving();
+        assertFalse(alone.isSucceeded());
+    }
+
+    @Test
+    void booksOfALongGoneProcessAreNotTaken() throws Exception {
+        files.write(books(clock.now() - 60_000));
+        assertNull(succession().left());
+        files.write(books(clock.now() + 60_000));
+        assertNull(succession().left());
+        files.write(books(clock.now()));
+        assertNotNull(succession().left());
+    }
+
+    @Test
+    void aSuccessorIsBesideAndHearsOfLaterUse() throws Exception {
+        files.write(new Claim(other.pid(), true));
+        files.write(books(clock.now()));
+        Succession s = succession();
+        s.begin();
+        assertTrue(beside);
+        assertTrue(s.warmUpMs(LONGEST_MS) < LONGEST_MS);
+        assertEquals(new Claim(ProcessHandle.current().pid(), false), files.claim());
+        assertNotNull(s.left());
+        s.serving();
+        assertEquals(new Claim(ProcessHandle.current().pid(), true), files.claim());
+        Books later = books(clock.now());
+        files.write(later);
+        assertEquals(later, taken.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        other.destroyForcibly().waitFor();
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (beside) {
+            assertTrue(System.nanoTime() < end, "still beside the one that ended");
+            Thread.sleep(5);
+        }
+    }
+
+    @Test
+    void aProcessThatIsFollowedLeavesItsBooksAndGivesWayOnlyToOneThatServes() throws Exception {
+        Succession s = succession();
+        s.begin();
+        s.serving();
+        files.write(new Claim(other.pid(), false));
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (files.books() == null || !beside) {
+            assertTrue(System.nanoTime() < end, "left no books");
+            Thread.sleep(5);
+        }
+        assertFalse(s.isSucceeded());
+        files.write(new Claim(other.pid(), true));
+        assertTrue(s.isSucceeded());
+        other.destroyForcibly().waitFor();
+        assertFalse(s.isSucceeded());
+        while (files.claim().process() != ProcessHandle.current().pid()) { // the next one is to find this one
+            assertTrue(System.nanoTime() < end, "claims nothing again");
+            Thread.sleep(5);
+        }
+        assertFalse(Files.exists(dir.resolve("caperrudder-books." + ProcessHandle.current().pid())));
+    }
+}
