--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -196,9 +196,27 @@
         if (held && now + cls.queue.size() * cls.releaseGap >= giveUpAt(ask)) finish(ask);
     }
 
+    @Override public void requestWhole(double now, String id, double deadlineMs) {
+        Ask ask = asks.get(id);
+        if (ask == null || !ask.arriving) return;
+        ask.arriving = false;
+        ask.arrived = now;
+        ask.deadline = deadlineMs;
+        ask.attempts.stream().filter(a -> a.out).forEach(a -> place(now, a));
+    }
+
+    @Override public void requestSpent(double now, String id) {
+        Ask ask = asks.get(id);
+        if (ask != null) ask.spent = true;
+    }
+
+    /** The host's work is done once its answer begins; what is left is the client's pace. */
     @Override public void streamStarted(double now, String id, int attempt) {
         Ask ask = asks.get(id);
-        if (ask != null) ask.streaming = true;
+        if (ask == null) return;
+        ask.streaming = true;
+        if (attempt >= 0 && attempt < ask.attempts.size()) vacate(ask.attempts.get(attempt));
+        release(now);
     }
 
     @Override public void attemptEnded(double now, AttemptResult r) {
@@ -209,10 +227,7 @@
         a.out = false;
         a.neverRan = r.outcome().neverRan();
         a.unsent = a.neverRan && r.outcome() != Outcome.FULL;
-        inFlight--;
-        a.server.out.remove(a);
-        a.server.outWork = a.server.out.isEmpty() ? 0 : a.server.outWork - a.work;
-        if (a.server.out.isEmpty()) watched.remove(a.server);
+        vacate(a);
         learn(now, ask, a, r);
         if (r.closed()) {
             close(ask);
@@ -497,7 +512,7 @@
     private void question(double now, Ask ask, int stage) {
         Customer c = ask.customer;
         int keeper = stage < c.keepers.length ? keeper(now, c, stage) : -1;
-        if (keeper < 0 || keeper == set.me() || now + ANSWER_MS >= ask.request.deadlineMs() - DEADLINE_MS) {
+        if (keeper < 0 || keeper == set.me() || now + ANSWER_MS >= ask.deadline - DEADLINE_MS) {
             c.pending.remove(ask);
             boolean room = c.plan.rate() <= 0 || (keeper < 0 ? c.tokens : c.level) >= ask.request.units();
             decide(now, ask, room && (c.plan.ceilingRate() <= 0 || c.ceiling >= ask.request.units()));
@@ -761,19 +776,37 @@
             if (ask.customer != null) ask.customer.unsent -= ask.request.units();
         }
         ask.attempts.add(a);
-        s.out.add(a);
-        s.outWork += a.work;
-        watched.add(s);
-        inFlight++;
+        if (!ask.arriving) place(now, a);
         act.send(ask.request.id(), s.info.id(), 0);
     }
 
+    /** An attempt begins to work; one whose request is still arriving does not yet. */
+    private void place(double now, Attempt a) {
+        if (a.placed) return;
+        a.placed = true;
+        a.sentAt = now;
+        a.stalled = stalled;
+        a.server.out.add(a);
+        a.server.outWork += a.work;
+        watched.add(a.server);
+        inFlight++;
+    }
+
+    private void vacate(Attempt a) {
+        if (!a.placed) return;
+        a.placed = false;
+        inFlight--;
+        a.server.out.remove(a);
+        a.server.outWork = a.server.out.isEmpty() ? 0 : a.server.outWork - a.work;
+        if (a.server.out.isEmpty()) watched.remove(a.server);
+    }
+
     /** When a held request must have left or be answered here: rule 1, and no work for late answers. */
     private double giveUpAt(Ask ask) {
-        double end = ask.request.deadlineMs() - DEADLINE_MS;
+        double end = ask.deadline - DEADLINE_MS;
         if (ask.ran() != null) return end;
         // What reached no host by half of the client's time has cost it that time for nothing.
-        double time = ask.request.deadlineMs() - ask.arrived;
+        double time = ask.deadline - ask.arrived;
         if (!ask.leftWhole()) end = Math.min(end, ask.arrived + UNSENT_SHARE * time);
         double aim = ask.cls.spec.aimMs();
         double useful = ask.cls.spec.lateValue() >= LATE_WORTH_KEPT ? end : Math.min(end, ask.arrived + aim);
@@ -1019,7 +1052,7 @@
     }
 
     private boolean mayTryAgain(double now, Ask ask) {
-        boolean may = repeatable(now, ask, ask.ran()) && !ask.streaming && now < giveUpAt(ask)
+        boolean may = repeatable(now, ask, ask.ran()) && !ask.streaming && !ask.spent && now < giveUpAt(ask)
                 && retryTokens >= 1 && ask.attempts.size() < set.limits().maxAttempts();
         retryTokens -= may ? 1 : 0;
         return may;
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -58,9 +58,17 @@
     public record Host(String id, String zone, String kind, int cell, HostState state, double rating,
             double startedMs) { }
 
-    /** A request, waiting since {@code arrivedMs}: {@code spread} gateways from number {@code first} on, counted round, may receive the customer. */
+    /**
+     * A request, waiting since {@code arrivedMs}: {@code spread} gateways from number {@code first} on, counted round,
+     * may receive the customer. Of one that is still {@code arriving} the end is to come, and its time with it.
+     */
     public record Request(String id, double deadlineMs, double arrivedMs, boolean retry, String requestClass, long customer,
-            String plan, double units, int first, int spread) { }
+            String plan, double units, int first, int spread, boolean arriving) {
+        public Request(String id, double deadlineMs, double arrivedMs, boolean retry, String requestClass, long customer,
+                String plan, double units, int first, int spread) {
+            this(id, deadlineMs, arrivedMs, retry, requestClass, customer, plan, units, first, spread, false);
+        }
+    }
 
     /** How an attempt ended; {@code usedPct} is 0 and {@code trueUnits} is 0 where nothing was told. */
     public record AttemptResult(String id, int attempt, String host, Outcome outcome, double latencyMs,
@@ -92,6 +100,13 @@
 
         void request(double now, Request request);
 
+        /** The last byte of a request that was arriving has come; its client waits from now on. */
+        void requestWhole(double now, String id, double deadlineMs);
+
+        /** A part of a request that was arriving has left for a host and is kept nowhere: it can't be sent again. */
+        void requestSpent(double now, String id);
+
+        /** The first bytes of an answer go to the client: the rest follows, or the answer breaks. */
         void streamStarted(double now, String id, int attempt);
 
         void attemptEnded(double now, AttemptResult result);
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -193,9 +193,10 @@
         final Ask ask;
         final int number;
         final Server server;
-        final double sentAt;
+        double sentAt; // whole
         final double work;
-        final double stalled; // own stalls before it was sent, in all
+        double stalled; // own stalls before it was sent, in all
+        boolean placed; // at work: it takes a place under the bound and at its host
         boolean out = true;
         boolean neverRan;
         boolean unsent; // it never came whole to the host
@@ -216,7 +217,10 @@
         final Request request;
         final ClassState cls;
         final Customer customer;
-        final double arrived;
+        double arrived;
+        double deadline;
+        boolean arriving; // its end is still to come
+        boolean spent; // it can't be sent again
         final List<Attempt> attempts = new ArrayList<>(2);
         boolean admitted;
         boolean done;
@@ -231,6 +235,8 @@
             this.cls = cls;
             this.customer = customer;
             this.arrived = request.arrivedMs();
+            this.deadline = request.deadlineMs();
+            this.arriving = request.arriving();
         }
 
         /** Time that the class's requests of this size have been taking. */
--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -1,7 +1,9 @@
 package deckfall.net;
 
 import deckfall.Gateway.Outcome;
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 
 /** One attempt of an open request at one host. */
@@ -9,7 +11,9 @@
     final OpenRequest owner;
     final int number;
     final String host;
-    final double sentAt;
+    private double sentAt; // of a body on its way, the last byte
+    private double firstAt; // of an answer that is passed on, the first bytes
+    private HttpResponse passed;
     private final Node node;
     boolean ended;
     private Future<?> timeout;
@@ -36,6 +40,36 @@
     @Override
     void written() {
         node.tally().sent();
+        if (!owner.body.isHeld()) {
+            sentAt = node.clock.now();
+        }
+    }
+
+    @Override
+    void bodyLeft() {
+        node.bodyLeft(this);
+    }
+
+    @Override
+    boolean begun(HttpResponse head) {
+        firstAt = node.clock.now();
+        passed = head;
+        return node.answerBegun(this, head);
+    }
+
+    @Override
+    void part(ByteBuf part) {
+        node.answerPart(this, part);
+    }
+
+    /** From the request's last byte to the answer, or to the first bytes of one that is passed on. */
+    double took(double now) {
+        return (passed == null ? now : firstAt) - sentAt;
+    }
+
+    /** The head of what the host answered; null where nothing came. */
+    HttpResponse told(HttpResponse response) {
+        return response == null ? passed : response;
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/deckfall/net/Budget.java
@@ -0,0 +1,36 @@
+package deckfall.net;
+
+/**
+ * The memory for what passes through: one sum, from the limit that the gateway was told, shared evenly by all that
+ * stream at a time. Whatever streams asks for its window when it begins.
+ */
+final class Budget {
+    private static final int HELD_MAX = 64 * 1024; // a longer message is passed on as it comes
+    private static final int WINDOW_MAX = 64 * 1024;
+    private static final int WINDOW_MIN = 4 * 1024;
+    private static final long SHARE = 24; // of the memory told: the rest is the program's and what is held whole
+
+    private final long bytes;
+    private int streams;
+
+    Budget(int memoryMb) {
+        this.bytes = (long) memoryMb * 1024 * 1024 / SHARE;
+    }
+
+    /** The longest message that is held whole; less where many stream. */
+    int held() {
+        return Math.min(HELD_MAX, window());
+    }
+
+    int window() {
+        return (int) Math.max(WINDOW_MIN, Math.min(WINDOW_MAX, bytes / Math.max(1, streams + 1)));
+    }
+
+    void began() {
+        streams++;
+    }
+
+    void ended() {
+        streams--;
+    }
+}
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -9,14 +9,21 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
@@ -25,12 +32,13 @@
 
 /** Accepts clients and writes the one answer to each request; decides which connections stay open. */
 final class ClientServer {
-    static final int MAX_BODY = 64 * 1024;
+    static final int MAX_BODY = 40 << 20; // of a request or an answer; those that occur reach 32 MB
     private static final int PIPELINED = 16; // requests read ahead on one connection; then reading stops
     private static final double SOCKET_SHARE = 0.42; // of all descriptors; the program itself needs some, too
     private static final double PRESSED_SHARE = 0.5; // of the connections that fit: then idle ones give way early
     private static final long SWEEP_MS = 100;
-    private static final double READ_MS = 2000; // for a request, from its first byte or the connection's start
+    private static final double SILENT_MS = 2600; // for the first request: true clients take up to 2 s for a head
+    private static final double STUCK_MS = 20_000; // in which a client takes nothing of an answer on its way
     private static final double GIVES_WAY_MS = 2200; // idle for so long, a connection may be closed for room
     private static final double IDLE_MS = 20_000; // idle for so long, it is closed
     private static final int ASKED_ONCE = 1; // requests on a connection that need not bring another
@@ -60,9 +68,9 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        RequestReader reader = new RequestReader(node.clock);
-                        reader.addTo(ch.pipeline());
-                        ch.pipeline().addLast(new Connection(ch, reader));
+                        Connection client = new Connection(ch);
+                        client.reader.addTo(ch.pipeline());
+                        ch.pipeline().addLast(client);
                     }
                 }).bind(node.transport.at(node.config.listen()));
         listener = bound.channel();
@@ -77,7 +85,7 @@
     /** Ends every connection on which nothing is asked. */
     void closeIdle() {
         for (LinkedHashSet<Connection> from : givingWay) {
-            List.copyOf(from).forEach(c -> giveUp(c, from));
+            List.copyOf(from).forEach(c -> giveUp(c, from, false));
         }
     }
 
@@ -100,7 +108,7 @@
         node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
         double now = node.clock.now();
         for (Connection c : List.copyOf(connections)) {
-            if (c.overdue(now - READ_MS)) {
+            if (c.overdue(now)) {
                 c.timeOut();
             }
         }
@@ -111,7 +119,7 @@
 
     private void closeIdle(LinkedHashSet<Connection> from, double since) {
         for (Connection c = first(from); c != null && c.idleSince < since; c = first(from)) {
-            giveUp(c, from); // it leaves the set either way
+            giveUp(c, from, false); // it leaves the set either way
         }
     }
 
@@ -126,7 +134,7 @@
     private boolean makeRoom() {
         for (LinkedHashSet<Connection> from : givingWay) {
             for (Connection c = first(from); c != null; c = first(from)) {
-                if (giveUp(c, from)) {
+                if (giveUp(c, from, true)) {
                     return true;
                 }
             }
@@ -134,19 +142,21 @@
         return false;
     }
 
-    /** Ends a connection unless a request stands unread in its socket: closing that away would lose it. */
-    private boolean giveUp(Connection c, LinkedHashSet<Connection> from) {
+    /** Ends a connection unless a request has come: closing that away would lose it. A part of one may be forced. */
+    private boolean giveUp(Connection c, LinkedHashSet<Connection> from, boolean forced) {
         int before = c.whole;
         if (c.channel.isActive() && c.channel.config().isAutoRead()) {
             Transport.readNow(c.channel);
         }
-        boolean free = c.whole == before;
+        boolean free = c.whole == before && (forced || !c.reader.unfinished());
         if (free) {
             c.leave(); // now, as its end is told only later
             c.channel.close();
         } else {
-            from.remove(c); // it was just asked something, and answered at once where it stands here still
-            c.rest();
+            from.remove(c); // it is being asked something, or just was and answered at once
+            if (c.whole > before) {
+                c.rest();
+            }
         }
         return free;
     }
@@ -157,6 +167,11 @@
         private final RequestReader reader;
         private final ArrayDeque<Object> waiting = new ArrayDeque<>(); // requests, and at the end what is unreadable
         private OpenRequest current;
+        private RequestBody upload; // of the last request, while there is more of it to come
+        private Attempt source; // of an answer on its way
+        private boolean chunks; // the client reads a body in chunks
+        private boolean closes; // the answer on its way is the last
+        private double takenAt; // when the client last took some of it
         private boolean busy;
         private boolean keepAlive = true;
         private boolean ended; // the last answer is on its way
@@ -166,9 +181,9 @@
         private int faults;
         private boolean paused;
 
-        Connection(Channel channel, RequestReader reader) {
+        Connection(Channel channel) {
             this.channel = channel;
-            this.reader = reader;
+            this.reader = new RequestReader(node.clock, node.budget, this::regulate);
         }
 
         @Override
@@ -195,7 +210,7 @@
 
         /** Takes its place among those that may give way, behind the others of its kind. */
         private void rest() {
-            if (!busy && !ended) {
+            if (!busy && !ended && upload == null) {
                 idleSince = node.clock.now();
                 (requests > ASKED_ONCE ? idle : casual).add(this);
             }
@@ -204,9 +219,10 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             leave();
-            waiting.forEach(ReferenceCountUtil::release);
+            waiting.forEach(Connection::drop);
             waiting.clear();
             ended = true;
+            stream(null);
             OpenRequest left = current;
             current = null;
             if (left != null) {
@@ -214,15 +230,40 @@
             }
         }
 
-        /** Whether no request has come for too long on a connection that owes one. */
-        private boolean overdue(double since) {
-            boolean silent = whole == 0 && idleSince < since;
-            return !busy && !ended && channel.config().isAutoRead() && (silent || reader.unfinishedSince(since));
+        private static void drop(Object message) {
+            if (message instanceof RequestReader.Arriving) {
+                ((RequestReader.Arriving) message).body().discard();
+            } else {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        /** Whether for too long no request has come on a connection that owes one, or none of an answer was taken. */
+        private boolean overdue(double now) {
+            if (source != null) {
+                takenAt = channel.isWritable() ? now : takenAt;
+                return now - takenAt > STUCK_MS;
+            }
+            boolean owes = upload != null || !busy && !ended;
+            boolean silent = whole == 0 && !busy && now - idleSince > SILENT_MS;
+            return owes && channel.config().isAutoRead() && (silent || reader.overdue(now));
         }
 
         private void timeOut() {
+            if (channel.isActive() && channel.config().isAutoRead()) {
+                Transport.readNow(channel); // it may have come while this loop was busy
+            }
+            if (!overdue(node.clock.now())) {
+                return;
+            }
             keepAlive = false;
-            if (reader.unfinishedSince(node.clock.now())) {
+            if (source != null || upload != null && !busy) { // it was answered, and only its rest did not come
+                leave();
+                channel.close();
+            } else if (upload != null) {
+                giveUpUpload();
+                answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
+            } else if (reader.unfinished()) {
                 answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
             } else {
                 leave();
@@ -230,8 +271,37 @@
             }
         }
 
+        /** The rest of a request will not come: no host is to wait for it. */
+        private void giveUpUpload() {
+            OpenRequest left = current;
+            current = null;
+            upload = null;
+            if (left != null) {
+                node.clientLeft(left);
+            }
+        }
+
+        /** The last byte of a body has come. */
+        private void bodyCame() {
+            if (upload == null || !upload.isWhole()) {
+                return; // its request still waits its turn
+            }
+            upload = null;
+            if (ended) {
+                channel.close(); // it was answered before
+            } else if (current != null) {
+                node.whole(current);
+            } else {
+                rest();
+                node.loop.execute(this::next);
+            }
+        }
+
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event == RequestReader.Asks.BODY_CAME) {
+                bodyCame();
+            }
             // Ahead of an answer that is still due it would be taken to belong to that one; then the client waits.
             if (event == RequestReader.Asks.TO_GO_ON && !busy && !ended && waiting.isEmpty()) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
@@ -241,69 +311,90 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            if (ended) {
-                ReferenceCountUtil.release(message);
+            boolean broken = message instanceof RequestReader.Unreadable && upload != null; // its end can't be found
+            if (broken && (source != null || !busy)) { // and its answer is given, or on its way
+                channel.close();
+            } else if (broken) {
+                giveUpUpload();
+                busy = false;
+            }
+            if (ended || !channel.isOpen()) {
+                drop(message);
                 return;
             }
             waiting.add(message);
             next();
-            if (waiting.size() >= PIPELINED) {
-                channel.config().setAutoRead(false);
-            }
+            regulate();
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            regulate();
         }
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (source != null) {
+                takenAt = node.clock.now();
+                source.reading(channel.isWritable());
+            }
             next();
         }
 
+        /** Reads no further ahead than what waits here may hold. */
+        private void regulate() {
+            boolean full = reader.arriving() != null && reader.arriving().isFull();
+            if (paused || full || waiting.size() >= PIPELINED) {
+                channel.config().setAutoRead(false);
+            } else if (!channel.config().isAutoRead()) {
+                reader.resume();
+                channel.config().setAutoRead(true);
+            }
+        }
+
         /** Goes on with what was sent ahead, but only as fast as the client takes the answers. */
         private void next() {
             while (!busy && !ended && !waiting.isEmpty() && channel.isWritable()) {
                 Object message = waiting.poll();
-                if (waiting.isEmpty() && !paused) {
-                    readOn();
-                }
+                regulate();
                 busy = true;
                 whole++;
                 leavePlace();
                 if (message instanceof RequestReader.Unreadable) {
                     keepAlive = false; // where the next request would begin is not known
                     answer(((RequestReader.Unreadable) message).status(), 0);
+                } else if (message instanceof RequestReader.Arriving) {
+                    RequestReader.Arriving a = (RequestReader.Arriving) message;
+                    upload = a.body().isWhole() ? null : a.body();
+                    handle(a.head(), a.body());
                 } else {
-                    handle((FullHttpRequest) message);
+                    handle((HttpRequest) message, RequestBody.held(((FullHttpRequest) message).content()));
                 }
             }
         }
 
-        private void readOn() {
-            if (!channel.config().isAutoRead()) {
-                reader.resume();
-                channel.config().setAutoRead(true);
-            }
-        }
-
-        private void handle(FullHttpRequest request) {
+        private void handle(HttpRequest request, RequestBody body) {
             keepAlive = HttpUtil.isKeepAlive(request);
+            chunks = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
             if (request.uri().equals(READY)) {
-                request.release();
+                body.discard();
                 answer(node.ending() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
                 return;
             }
             double now = node.clock.now();
-            Request read = terms.read(request, now, now - node.lag.ms());
+            Request read = terms.read(request, body, now, now - node.lag.ms());
             if (read == null || node.knows(read.id())) {
                 boolean unknown = !request.headers().contains(RequestTerms.ID);
-                request.release();
+                body.discard();
                 fault();
                 answer(unknown ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, 0);
             } else if (node.full()) {
-                request.release();
+                body.discard();
                 node.tally().ended(read.requestClass(), Tally.End.DEFERRED);
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
             } else {
                 requests++;
-                node.taken(read, request, this);
+                node.taken(read, request, body, this);
             }
         }
 
@@ -313,12 +404,10 @@
                 return;
             }
             paused = true;
-            channel.config().setAutoRead(false);
+            regulate();
             node.loop.schedule(() -> {
                 paused = false;
-                if (!ended && waiting.size() < PIPELINED) {
-                    readOn();
-                }
+                regulate();
             }, PAUSE_MS, TimeUnit.MILLISECONDS);
         }
 
@@ -330,11 +419,65 @@
         void serve(FullHttpResponse from) {
             FullHttpResponse to = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                     from.content().retain());
+            copyType(from, to);
+            write(to);
+        }
+
+        private void copyType(HttpResponse from, HttpResponse to) {
             String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
             if (type != null && RequestTerms.isWithin(type, ' ', '~')) { // else not to be passed on
                 to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
             }
-            write(to);
+        }
+
+        /** Begins to pass an answer on as it comes, as fast as the client takes it. */
+        void begin(HttpResponse from, Attempt attempt) {
+            HttpResponse to = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            copyType(from, to);
+            long length = HttpUtil.getContentLength(from, -1L);
+            if (length >= 0) {
+                to.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+            } else if (chunks) {
+                to.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            closes = !keepAlive || node.closing() || length < 0 && !chunks;
+            if (closes) {
+                to.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            stream(attempt);
+            int window = node.budget.window();
+            channel.config().setWriteBufferWaterMark(new WriteBufferWaterMark(window / 2, window));
+            takenAt = node.clock.now();
+            channel.write(to, channel.voidPromise());
+        }
+
+        private void stream(Attempt from) {
+            if (source == null && from != null) {
+                node.budget.began();
+            } else if (source != null && from == null) {
+                node.budget.ended();
+            }
+            source = from;
+        }
+
+        void part(ByteBuf part) {
+            channel.writeAndFlush(new DefaultHttpContent(part), channel.voidPromise());
+            if (source != null) { // else the write has ended the connection
+                source.reading(channel.isWritable());
+            }
+        }
+
+        /** The answer on its way is whole, or broke: then the client is to see that it is not whole. */
+        void end(boolean whole) {
+            stream(null);
+            if (whole) {
+                over(LastHttpContent.EMPTY_LAST_CONTENT, closes || node.closing());
+            } else {
+                current = null;
+                ended = true;
+                leave();
+                channel.close();
+            }
         }
 
         void answer(HttpResponseStatus status, double retryAfterMs) {
@@ -350,15 +493,29 @@
         private void write(FullHttpResponse response) {
             ByteBuf body = response.content();
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            boolean last = !keepAlive || node.closing();
+            if (last) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            over(response, last);
+        }
+
+        /** Writes the end of an answer. What still comes of its request is read away: a close would reset the answer. */
+        private void over(HttpObject end, boolean last) {
             current = null;
             busy = false;
-            ended = !keepAlive || node.closing();
+            ended = last;
+            if (upload != null) {
+                upload.discard();
+            }
             if (ended) {
-                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+                ChannelFuture written = channel.writeAndFlush(end);
+                if (upload == null) {
+                    written.addListener(ChannelFutureListener.CLOSE);
+                }
                 return;
             }
-            channel.writeAndFlush(response, channel.voidPromise());
+            channel.writeAndFlush(end, channel.voidPromise());
             rest();
             if (!waiting.isEmpty()) { // not at once: an answer may be given while the request is being taken
                 node.loop.execute(this::next);
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -4,17 +4,23 @@
 import deckfall.Gateway.ListKind;
 import deckfall.Gateway.Outcome;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -140,18 +146,38 @@
     // ---- asking
 
     void send(Attempt a) {
-        start(a.host, a, () -> attemptMessage(a));
+        start(a.host, a, c -> write(a, c));
     }
 
-    private FullHttpRequest attemptMessage(Attempt a) {
-        FullHttpRequest from = a.owner.message;
-        FullHttpRequest to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
-                from.content().retainedDuplicate());
+    private void write(Attempt a, HostConnection c) {
+        HttpRequest from = a.owner.head;
+        RequestBody body = a.owner.body;
+        if (body.isHeld()) {
+            ByteBuf content = body.copy();
+            FullHttpRequest to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), content);
+            setHeaders(a, from, to);
+            if (!from.method().equals(HttpMethod.GET)) {
+                to.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+            }
+            c.write(a, to);
+            return;
+        }
+        HttpRequest to = new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri());
+        setHeaders(a, from, to);
+        long length = HttpUtil.getContentLength(from, -1L);
+        if (length >= 0) {
+            to.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        } else {
+            to.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        c.write(a, to, body);
+    }
+
+    private void setHeaders(Attempt a, HttpRequest from, HttpRequest to) {
         HttpHeaders h = to.headers();
         h.set(HttpHeaderNames.HOST, HOST);
         h.set(RequestTerms.ID, a.owner.request.id());
-        h.set(RequestTerms.EXPIRES,
-                Long.toString((long) Math.max(1, a.owner.request.deadlineMs() - node.clock.now())));
+        h.set(RequestTerms.EXPIRES, Long.toString((long) a.owner.leftMs(node.clock.now())));
         String key = from.headers().get(RequestTerms.KEY);
         if (key != null) {
             h.set(RequestTerms.KEY, key);
@@ -160,10 +186,6 @@
         if (type != null) {
             h.set(HttpHeaderNames.CONTENT_TYPE, type);
         }
-        if (!from.method().equals(HttpMethod.GET)) {
-            h.setInt(HttpHeaderNames.CONTENT_LENGTH, to.content().readableBytes());
-        }
-        return to;
     }
 
     void probe(String host) {
@@ -182,11 +204,11 @@
                 }
             }
         };
-        start(host, probe, () -> {
+        start(host, probe, c -> {
             FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
                     Unpooled.EMPTY_BUFFER);
             message.headers().set(HttpHeaderNames.HOST, HOST);
-            return message;
+            c.write(probe, message);
         });
         node.loop.schedule(() -> {
             if (probe.under()) {
@@ -204,7 +226,7 @@
         }
         for (HostConnection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
             if (c.ready()) {
-                c.write(x, message.build());
+                message.writeTo(c);
                 return;
             }
         }
@@ -216,12 +238,12 @@
     }
 
     private interface Message {
-        FullHttpRequest build();
+        void writeTo(HostConnection c);
     }
 
     private void connect(Pool pool, HostConnection.Exchange x, Message message) {
         connections++;
-        HostConnection c = new HostConnection(pool, node.clock);
+        HostConnection c = new HostConnection(pool, node.clock, node.budget);
         c.await(x);
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
@@ -237,7 +259,7 @@
             }
             connecting.channel().closeFuture().addListener(closed -> connections--);
             if (c.awaits(x)) {
-                c.write(x, message.build());
+                message.writeTo(c);
             }
         });
     }
@@ -245,12 +267,12 @@
     // ---- what answers tell beside their body
 
     /** The customer's metered use as the module is told it, 1 + percent; 0 where the answer tells none. */
-    static int used(FullHttpResponse response) {
+    static int used(HttpResponse response) {
         double percent = RequestTerms.plain(response.headers().get(QUOTA_USED), false);
         return percent < 0 ? 0 : 1 + (int) percent;
     }
 
-    double[] report(FullHttpResponse response) {
+    double[] report(HttpResponse response) {
         String text = response.headers().get(REPORT);
         return text == null ? new double[0] : parse(text);
     }
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -4,15 +4,19 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -32,7 +36,9 @@
  */
 final class HostConnection extends ChannelInboundHandlerAdapter {
     private static final String NEVER_RAN = "X-Never-Ran";
-    private static final long STALL_MS = 250; // an answer that has begun and is not whole after so long is no answer
+    private static final long STALL_MS = 250; // without a byte, an answer that has begun is none
+    private static final long PASSED_STALL_MS = 5000; // one that is passed on already has nothing to lose
+    private static final long HOLD_MS = 1000; // what comes in pieces for longer than this is passed on as it comes
     private static final int INTERIM_MAX = 16; // 1xx answers ahead of one
 
     /** Where a connection rests between exchanges. */
@@ -46,6 +52,7 @@
 
     private final Home home;
     private final Clock clock;
+    private final Budget budget;
     private final Decoder decoder = new Decoder();
     private Channel channel;
     private Exchange exchange;
@@ -55,12 +62,19 @@
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private int interim;
     private boolean clean; // answered, and nothing has come since
+    private boolean passing; // the answer goes on as it comes
+    private RequestBody upload; // of the request, where it goes on as it comes
+    private boolean pumping;
+    private boolean left; // of that body, a part
+    private double begunAt;
+    private double progressAt;
     private Future<?> stall;
     private double idleSince;
 
-    HostConnection(Home home, Clock clock) {
+    HostConnection(Home home, Clock clock, Budget budget) {
         this.home = home;
         this.clock = clock;
+        this.budget = budget;
     }
 
     /** Something asked of a host that ends exactly once; its owner ignores what comes after. */
@@ -70,6 +84,26 @@
         /** Its last byte has left for the host. */
         void written() { }
 
+        /** A part of a body that is kept nowhere has left. */
+        void bodyLeft() { }
+
+        /** The head of an answer too long to be held: whether its parts are taken as they come. */
+        boolean begun(HttpResponse head) {
+            return false;
+        }
+
+        /** A part of such an answer, which is taken over. */
+        void part(ByteBuf part) {
+            part.release();
+        }
+
+        /** Whether the answer is to be read on. */
+        final void reading(boolean on) {
+            if (connection != null) {
+                connection.reading(on);
+            }
+        }
+
         /** How it ended; the response, where there is one, is only lent. */
         abstract void ended(Outcome outcome, FullHttpResponse response);
 
@@ -83,6 +117,7 @@
             connection = null;
             if (c != null) {
                 c.exchange = null;
+                c.stopUpload();
                 c.close();
             }
         }
@@ -101,6 +136,8 @@
                 close();
                 return;
             }
+            progressAt = clock.now();
+            begunAt = begun ? begunAt : progressAt;
             begun = true;
             super.channelRead(ctx, bytes);
         }
@@ -149,10 +186,27 @@
     }
 
     void write(Exchange x, FullHttpRequest message) {
+        begin(x);
+        wrote(x, channel.writeAndFlush(message));
+    }
+
+    /** Sends a body on as it comes and as fast as the host takes it. */
+    void write(Exchange x, HttpRequest message, RequestBody body) {
+        begin(x);
+        left = false;
+        upload = body;
+        channel.write(message, channel.voidPromise());
+        body.to(this::pump);
+    }
+
+    private void begin(Exchange x) {
         await(x);
-        written = begun = clean = false;
+        written = begun = clean = passing = false;
         interim = 0;
-        channel.writeAndFlush(message).addListener(f -> {
+    }
+
+    private void wrote(Exchange x, ChannelFuture last) {
+        last.addListener(f -> {
             if (exchange != x) {
                 return;
             }
@@ -166,6 +220,47 @@
         });
     }
 
+    private void pump() {
+        if (upload == null || pumping) {
+            return;
+        }
+        pumping = true; // taking a part lets more come, perhaps at once
+        ByteBuf part = channel.isWritable() ? upload.next() : null;
+        for (; part != null; part = channel.isWritable() ? upload.next() : null) {
+            if (!left && exchange != null) {
+                exchange.bodyLeft();
+            }
+            left = true;
+            channel.write(new DefaultHttpContent(part), channel.voidPromise());
+        }
+        pumping = false;
+        if (upload.isDrained()) {
+            stopUpload();
+            wrote(exchange, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        } else {
+            channel.flush();
+        }
+    }
+
+    private void stopUpload() {
+        if (upload != null) {
+            upload.to(null);
+            upload = null;
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        pump();
+    }
+
+    private void reading(boolean on) {
+        if (channel.config().isAutoRead() != on) {
+            progressAt = clock.now(); // the client's pace is no silence of the host
+            channel.config().setAutoRead(on);
+        }
+    }
+
     /** What was asked here ended without an answer. It may have run only once its last byte had left. */
     void lost() {
         end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
@@ -180,6 +275,7 @@
     private void end(Outcome outcome, FullHttpResponse response) {
         Exchange x = exchange;
         exchange = null;
+        stopUpload();
         if (x != null) {
             x.connection = null;
             x.ended(outcome, response);
@@ -215,15 +311,44 @@
     private void begin(HttpResponse response) {
         head = response;
         boolean ahead = isInterim();
-        boolean empty = response.status().equals(HttpResponseStatus.NO_CONTENT)
-                || response.status().equals(HttpResponseStatus.NOT_MODIFIED);
-        boolean chunked = HttpUtil.isTransferEncodingChunked(response);
         long length = HttpUtil.getContentLength(response, -1L);
-        // An answer that the end of the connection bounds can't be told from a broken one.
-        boolean bounded = ahead || empty || chunked || length >= 0;
-        if (!bounded || length > ClientServer.MAX_BODY || ahead && ++interim > INTERIM_MAX
+        if (length > ClientServer.MAX_BODY || ahead && ++interim > INTERIM_MAX
                 || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             spoilt();
+        } else if (!ahead && length > budget.held()) {
+            pass();
+        }
+    }
+
+    /** Whether its own framing says where the answer ends; else the connection's end does. */
+    private boolean bounded() {
+        return HttpUtil.isTransferEncodingChunked(head) || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || head.status().equals(HttpResponseStatus.NO_CONTENT)
+                || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
+    }
+
+    /** Goes on with the answer as it comes; one that is not served has told all with its head. */
+    private void pass() {
+        if (!head.status().equals(HttpResponseStatus.OK)) {
+            FullHttpResponse told = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(),
+                    Unpooled.EMPTY_BUFFER, head.headers(), EmptyHttpHeaders.INSTANCE);
+            end(outcome(told), told);
+            close();
+        } else if (exchange.begun(head)) {
+            passing = true;
+            ByteBuf first = body;
+            body = Unpooled.EMPTY_BUFFER;
+            pass(first);
+        } else {
+            spoilt();
+        }
+    }
+
+    private void pass(ByteBuf part) {
+        if (exchange != null && part.isReadable()) {
+            exchange.part(part);
+        } else {
+            part.release();
         }
     }
 
@@ -232,20 +357,33 @@
     }
 
     private void goOn(ChannelHandlerContext ctx, HttpContent content) {
-        if (body.readableBytes() + content.content().readableBytes() > ClientServer.MAX_BODY) {
-            spoilt();
-            return;
+        if (!passing && body.readableBytes() + content.content().readableBytes() > budget.held() && !isInterim()) {
+            pass();
+            if (exchange == null) {
+                return;
+            }
+        }
+        if (passing) {
+            pass(content.content().retain());
+        } else {
+            body = RequestReader.joined(ctx, body, content.content());
         }
-        body = RequestReader.joined(ctx, body, content.content());
         if (!(content instanceof LastHttpContent)) {
             return;
         }
         if (isInterim()) {
             begun = decoder.leftOver();
+        } else if (passing) {
+            clean = written && bounded() && HttpUtil.isKeepAlive(head) && !decoder.leftOver();
+            reading(true);
+            end(Outcome.OK, null);
+            if (!clean) {
+                close();
+            }
         } else {
             FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body,
                     head.headers(), EmptyHttpHeaders.INSTANCE);
-            clean = written && HttpUtil.isKeepAlive(head) && !decoder.leftOver();
+            clean = written && bounded() && HttpUtil.isKeepAlive(head) && !decoder.leftOver();
             body = Unpooled.EMPTY_BUFFER;
             try {
                 end(outcome(whole), whole);
@@ -281,16 +419,32 @@
 
     /** A host that stops inside its answer keeps the connection open, so nothing else would ever tell. */
     private void watch() {
-        if (!begun || stall != null) {
-            return;
+        if (begun && stall == null) {
+            watch(exchange, STALL_MS);
         }
-        Exchange x = exchange;
+    }
+
+    private void watch(Exchange x, double afterMs) {
         stall = channel.eventLoop().schedule(() -> {
             stall = null;
-            if (exchange == x && begun) {
+            if (exchange != x || !begun) {
+                return;
+            }
+            double now = clock.now();
+            progressAt = channel.config().isAutoRead() ? progressAt : now;
+            double quiet = now - progressAt;
+            double limit = passing ? PASSED_STALL_MS : STALL_MS;
+            if (quiet >= limit) {
                 spoilt();
+                return;
+            }
+            if (!passing && head != null && !isInterim() && now - begunAt > HOLD_MS) {
+                pass();
+            }
+            if (exchange == x) {
+                watch(x, Math.max(1, limit - quiet));
             }
-        }, STALL_MS, TimeUnit.MILLISECONDS);
+        }, (long) afterMs, TimeUnit.MILLISECONDS);
     }
 
     private static Outcome outcome(FullHttpResponse response) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -10,11 +10,13 @@
 import deckfall.Gateway.ListKind;
 import deckfall.Gateway.Outcome;
 import deckfall.Gateway.Request;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
@@ -59,6 +61,7 @@
     final NioEventLoopGroup group;
     final EventLoop loop;
     final LoopLag lag;
+    final Budget budget;
     private final Events module;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
@@ -93,6 +96,7 @@
         this.group = group;
         this.loop = group.next();
         this.lag = new LoopLag(clock, loop);
+        this.budget = new Budget(config.memoryMb());
         this.module = maker.apply(this);
         this.tally = new Tally(config.settings().classes());
         this.figures = new Figures(tally.classes(), 0, 0, new Cluster(0, 0));
@@ -175,7 +179,7 @@
 
     private void renewFigures() {
         loop.schedule(this::renewFigures, FIGURES_MS, TimeUnit.MILLISECONDS);
-        long current = open.values().stream().filter(r -> !r.closed()).count();
+        long current = open.values().stream().filter(r -> !r.closed() && r.isWhole()).count();
         figures = new Figures(tally.classes(), tally.sends(), current, module.cluster(clock.now()));
     }
 
@@ -304,16 +308,32 @@
         return open.containsKey(id);
     }
 
-    /** Takes a request whole from its client; the entry owns the message from here on. */
-    void taken(Request r, FullHttpRequest message, ClientServer.Connection client) {
-        OpenRequest entry = new OpenRequest(r, message, client);
+    /** Takes a request from its client, whole or with its body on its way; the entry owns the message from here on. */
+    void taken(Request r, HttpRequest head, RequestBody body, ClientServer.Connection client) {
+        OpenRequest entry = new OpenRequest(r, head, body, client);
         open.put(r.id(), entry);
         client.holds(entry);
-        double left = r.deadlineMs() - clock.now();
-        entry.guard = loop.schedule(() -> deadline(entry), micros(left), TimeUnit.MICROSECONDS);
+        if (entry.isWhole()) {
+            guard(entry);
+        }
         tell((now, m) -> m.request(now, r));
     }
 
+    private void guard(OpenRequest r) {
+        r.guard = loop.schedule(() -> deadline(r), micros(r.deadlineMs() - clock.now()), TimeUnit.MICROSECONDS);
+    }
+
+    /** The last byte has come of a request that was taken before. */
+    void whole(OpenRequest r) {
+        r.beginsAt(clock.now() - lag.ms());
+        guard(r);
+        tell((now, m) -> m.requestWhole(now, r.request.id(), r.deadlineMs()));
+    }
+
+    void bodyLeft(Attempt a) {
+        tell((now, m) -> m.requestSpent(now, a.owner.request.id()));
+    }
+
     private static long micros(double ms) {
         return (long) (Math.max(0, ms) * MICROS_PER_MS);
     }
@@ -324,6 +344,9 @@
 
     /** Rule 1: attempts end with the client's time, and what the module then leaves unanswered fails here. */
     private void deadline(OpenRequest r) {
+        if (r.passing != null) {
+            return; // the first bytes came in time, and the rest has the client's
+        }
         endAttempts(r);
         if (!r.closed()) {
             log("defect: no answer from the module in time, request failed");
@@ -346,9 +369,34 @@
         }
         r.close(tally, Tally.End.ERRORED);
         tell((now, m) -> m.clientLeft(now, r.request.id()));
+        if (r.passing != null) {
+            r.passing.abandon();
+            attemptEnded(r.passing, Outcome.CANCELLED, null);
+        }
         forgetIfOver(r);
     }
 
+    /** An answer begins that is passed on as it comes; false where the client has its answer or is gone. */
+    boolean answerBegun(Attempt a, HttpResponse head) {
+        OpenRequest r = a.owner;
+        if (a.ended || r.closed()) {
+            return false;
+        }
+        r.passing = a;
+        r.client().begin(head, a);
+        tell((now, m) -> m.streamStarted(now, r.request.id(), a.number));
+        return true;
+    }
+
+    void answerPart(Attempt a, ByteBuf part) {
+        ClientServer.Connection client = a.owner.client();
+        if (client == null) {
+            part.release();
+        } else {
+            client.part(part);
+        }
+    }
+
     /** The end of an attempt, told once; the first whole 200 goes to the client unchanged. */
     void attemptEnded(Attempt a, Outcome outcome, FullHttpResponse response) {
         if (a.ended) {
@@ -358,16 +406,23 @@
         a.stopTimer();
         OpenRequest r = a.owner;
         r.out--;
-        if (outcome == Outcome.OK) {
+        if (r.passing == a) {
+            ClientServer.Connection client = r.close(tally, outcome == Outcome.OK ? Tally.End.ANSWERED
+                    : Tally.End.ERRORED);
+            if (client != null) {
+                client.end(outcome == Outcome.OK);
+            }
+        } else if (outcome == Outcome.OK) {
             ClientServer.Connection client = r.close(tally, Tally.End.ANSWERED);
             if (client != null) {
                 client.serve(response);
             }
         }
         boolean closed = r.closed();
-        double took = clock.now() - a.sentAt;
-        double[] report = response == null ? NO_REPORT : hosts.report(response);
-        int used = response == null ? 0 : HostClient.used(response);
+        double took = a.took(clock.now());
+        HttpResponse told = a.told(response);
+        double[] report = told == null ? NO_REPORT : hosts.report(told);
+        int used = told == null ? 0 : HostClient.used(told);
         tell((now, m) -> m.attemptEnded(now,
                 new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, used, 0, report)));
         forgetIfOver(r);
@@ -375,8 +430,10 @@
 
     private void forgetIfOver(OpenRequest r) {
         if (r.closed() && r.out == 0 && open.remove(r.request.id(), r)) {
-            r.guard.cancel(false);
-            r.message.release();
+            if (r.guard != null) {
+                r.guard.cancel(false);
+            }
+            r.body.discard();
         }
     }
 
@@ -409,7 +466,7 @@
         Attempt a = new Attempt(this, r, host, now);
         r.attempts.add(a);
         r.out++;
-        if (over || r.closed() || now >= r.request.deadlineMs()
+        if (over || r.closed() || r.isWhole() && now >= r.deadlineMs()
                 || a.number >= config.settings().limits().maxAttempts()) {
             attemptEnded(a, Outcome.MOOT, null);
             return;
@@ -525,11 +582,11 @@
     /** Gives up every attempt; what follows from that is answered as ever. */
     void endAll() {
         over = true;
-        for (OpenRequest r : List.copyOf(open.values())) {
+        for (OpenRequest r : open.values().stream().filter(o -> o.passing == null).toList()) {
             endAttempts(r); // the module refuses or fails it, as its further attempts are void now
         }
         for (OpenRequest r : List.copyOf(open.values())) {
-            if (!r.closed()) { // still held
+            if (!r.closed() && r.passing == null) { // still held
                 answer(r, Tally.End.ERRORED, HttpResponseStatus.BAD_GATEWAY, 0);
             }
         }
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -21,11 +21,12 @@
 
 /** What this api gateway was told at its start; anything missing or malformed is a {@link BadConfig}. */
 record NodeConfig(InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
-        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, int sockets, JsonNode known, Settings settings,
+        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, int sockets, int memoryMb, JsonNode known, Settings settings,
         double connectTimeoutMs, double idleMs, int maxOpen) {
     private static final int PORT_MAX = 65_535;
     private static final int HEX = 16;
     private static final int DEFAULT_SOCKETS = 1024;
+    private static final int DEFAULT_MEMORY_MB = 96;
     private static final double DEFAULT_CONNECT_MS = 250;
     private static final double DEFAULT_IDLE_MS = 15_000;
     private static final double DEFAULT_MAX_OPEN = 20_000;
@@ -58,8 +59,8 @@
             return this;
         }
         try {
-            return new NodeConfig(listen, address(address), discovery, peerListen, peers, peersAll, sockets, known,
-                    settings, connectTimeoutMs, idleMs, maxOpen);
+            return new NodeConfig(listen, address(address), discovery, peerListen, peers, peersAll, sockets, memoryMb,
+                    known, settings, connectTimeoutMs, idleMs, maxOpen);
         } catch (IllegalArgumentException e) {
             throw new BadConfig("NODE_ADMIN_ADDR: " + e.getMessage());
         }
@@ -83,7 +84,8 @@
                 root.hasNonNull("admin_addr") ? address(text(root, "admin_addr")) : null,
                 address(text(root, "discovery")), mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
                 root.hasNonNull("peers_all") ? address(text(root, "peers_all")) : null,
-                root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS), root.path("known"), settings,
+                root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS),
+                root.path("limits").path("memory_mb").asInt(DEFAULT_MEMORY_MB), root.path("known"), settings,
                 fields.number("limits.connect_timeout_ms", DEFAULT_CONNECT_MS),
                 fields.number("limits.conn_idle_ms", DEFAULT_IDLE_MS),
                 (int) fields.number("limits.max_open", DEFAULT_MAX_OPEN));
--- /dev/null
+++ b/src/main/java/deckfall/net/RequestBody.java
@@ -0,0 +1,130 @@
+package deckfall.net;
+
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayDeque;
+
+/**
+ * A request's body: held whole, so that each attempt can send it, or on its way, when what a host has taken is gone.
+ * Of the latter it holds no more than a window: who fills it asks whether it is {@link #full}. On the event loop only.
+ */
+final class RequestBody {
+    /** Who sends the body on; told when there is more of it, or its end. */
+    interface Sink {
+        void more();
+    }
+
+    private final ByteBuf held; // null where the body is on its way
+    private final int window;
+    private final Runnable room;
+    private final ArrayDeque<ByteBuf> parts = new ArrayDeque<>();
+    private int bytes;
+    private boolean whole;
+    private boolean discarded;
+    private Sink sink;
+
+    private RequestBody(ByteBuf held, int window, Runnable room) {
+        this.held = held;
+        this.whole = held != null;
+        this.window = window;
+        this.room = room;
+    }
+
+    static RequestBody held(ByteBuf body) {
+        return new RequestBody(body, 0, () -> { });
+    }
+
+    /** {@code room} is run when a body that was full no longer is. */
+    static RequestBody arriving(int window, Runnable room) {
+        return new RequestBody(null, window, room);
+    }
+
+    boolean isHeld() {
+        return held != null;
+    }
+
+    /** Whether it is known that there is none. */
+    boolean isEmpty() {
+        return held != null && !held.isReadable();
+    }
+
+    /** For one attempt, of a body that is held. */
+    ByteBuf copy() {
+        return held.retainedDuplicate();
+    }
+
+    // ---- a body on its way
+
+    /** Takes the part over. */
+    void add(ByteBuf part) {
+        if (discarded || !part.isReadable()) {
+            part.release();
+            return;
+        }
+        parts.addLast(part);
+        bytes += part.readableBytes();
+        tell();
+    }
+
+    void end() {
+        whole = true;
+        tell();
+    }
+
+    private void tell() {
+        if (sink != null) {
+            sink.more();
+        }
+    }
+
+    /** All of it has come. */
+    boolean isWhole() {
+        return whole;
+    }
+
+    boolean isFull() {
+        return bytes >= window && !discarded && held == null;
+    }
+
+    /** From now on this one sends it; nobody where null. */
+    void to(Sink next) {
+        sink = next;
+        tell();
+    }
+
+    /** The next part, which the caller owns, or null where none has come. */
+    ByteBuf next() {
+        ByteBuf part = parts.pollFirst();
+        if (part != null) {
+            boolean wasFull = isFull();
+            bytes -= part.readableBytes();
+            if (wasFull && !isFull()) {
+                room.run();
+            }
+        }
+        return part;
+    }
+
+    /** Whether all has come and been taken. */
+    boolean isDrained() {
+        return whole && parts.isEmpty();
+    }
+
+    /** Nobody wants it any more: what still comes is read away. */
+    void discard() {
+        if (discarded) {
+            return;
+        }
+        boolean wasFull = isFull();
+        discarded = true;
+        sink = null;
+        parts.forEach(ByteBuf::release);
+        parts.clear();
+        bytes = 0;
+        if (held != null) {
+            held.release();
+        }
+        if (wasFull) {
+            room.run();
+        }
+    }
+}
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -30,22 +30,37 @@
 final class RequestReader extends ChannelInboundHandlerAdapter {
     private static final HttpHeadersFactory HEADERS = StrictHeaders.ofRequests(RequestTerms.SINGLE);
     private static final double NONE = -1;
+    private static final double HEAD_MS = 2600; // for a head, from its first byte: true clients take up to 2 s
+    private static final double BODY_GRACE_MS = 1500; // without a byte of a body, and ahead of its slowest pace
+    private static final double BODY_BYTES_PER_MS = 32; // slowest pace of a body: half of what true clients keep
 
     /** In the place of a request: the connection ends with this answer. */
     record Unreadable(HttpResponseStatus status) { }
 
+    /** A request of which the body is on its way: its parts go to the body as they come. */
+    record Arriving(HttpRequest head, RequestBody body) { }
+
     /** The client sends the body only once it is told that its head was read. */
-    enum Asks { TO_GO_ON }
+    enum Asks { TO_GO_ON, BODY_CAME }
 
     private final Clock clock;
     private final Decoder decoder = new Decoder();
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private RequestBody arriving; // of a request that was passed on before its end
     private boolean over;
-    private double since = NONE; // when an unfinished request began to come
-
-    RequestReader(Clock clock) {
+    private double since = NONE; // when an unfinished request, or its body, began to come
+    private double progressAt;
+    private long bodyBytes; // since then
+    private long bodyTotal;
+    private final Budget budget;
+    private final Runnable room;
+
+    /** {@code room} is run when a body that was full can take more. */
+    RequestReader(Clock clock, Budget budget, Runnable room) {
         this.clock = clock;
+        this.budget = budget;
+        this.room = room;
     }
 
     private final class Decoder extends HttpRequestDecoder {
@@ -74,14 +89,30 @@
         pipeline.addLast(new HttpResponseEncoder(), decoder, this);
     }
 
-    /** Whether something unfinished has been coming since before then. */
-    boolean unfinishedSince(double then) {
-        return since != NONE && since < then;
+    /** Whether a part of a request has come and not its end. */
+    boolean unfinished() {
+        return since != NONE;
+    }
+
+    /** Whether something unfinished comes too slowly, or no more. */
+    boolean overdue(double now) {
+        if (since == NONE) {
+            return false;
+        }
+        return head == null && arriving == null ? now - since > HEAD_MS : now - progressAt > BODY_GRACE_MS
+                || now - since - BODY_GRACE_MS > bodyBytes / BODY_BYTES_PER_MS;
+    }
+
+    /** What came of a body that has more to come, or null. */
+    RequestBody arriving() {
+        return arriving;
     }
 
     /** The client was not read for a while, and its time starts anew. */
     void resume() {
         since = since == NONE ? NONE : clock.now();
+        progressAt = clock.now();
+        bodyBytes = 0;
     }
 
     @Override
@@ -109,6 +140,7 @@
 
     private void begin(ChannelHandlerContext ctx, HttpRequest request) {
         head = request;
+        resume();
         boolean known = request.protocolVersion().equals(HttpVersion.HTTP_1_1)
                 || request.protocolVersion().equals(HttpVersion.HTTP_1_0)
                 && !HttpUtil.isTransferEncodingChunked(request);
@@ -121,11 +153,29 @@
         } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
             refuse(ctx, HttpResponseStatus.EXPECTATION_FAILED);
         }
+        if (!over && HttpUtil.getContentLength(request, 0L) > budget.held()) {
+            passOn(ctx);
+        }
+    }
+
+    private void passOn(ChannelHandlerContext ctx) {
+        arriving = RequestBody.arriving(budget.window(), room);
+        if (body.isReadable()) {
+            arriving.add(body);
+            body = Unpooled.EMPTY_BUFFER;
+        }
+        ctx.fireChannelRead(new Arriving(head, arriving));
     }
 
     private void goOn(ChannelHandlerContext ctx, HttpContent content) {
-        if (body.readableBytes() + content.content().readableBytes() > ClientServer.MAX_BODY) {
-            refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        int length = content.content().readableBytes();
+        bodyBytes += length;
+        progressAt = length > 0 ? clock.now() : progressAt;
+        if (arriving == null && body.readableBytes() + length > budget.held()) {
+            passOn(ctx);
+        }
+        if (arriving != null) {
+            pass(ctx, content);
             return;
         }
         body = joined(ctx, body, content.content());
@@ -139,6 +189,27 @@
         }
     }
 
+    private void pass(ChannelHandlerContext ctx, HttpContent content) {
+        bodyTotal += content.content().readableBytes();
+        if (bodyTotal > ClientServer.MAX_BODY) { // of a body that did not tell its length
+            refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        arriving.add(content.content().retain());
+        if (arriving.isFull()) {
+            ctx.channel().config().setAutoRead(false); // at once: more may stand in the socket
+        }
+        if (content instanceof LastHttpContent) {
+            RequestBody ended = arriving;
+            arriving = null;
+            head = null;
+            bodyTotal = 0;
+            since = decoder.leftOver() ? clock.now() : NONE;
+            ended.end();
+            ctx.fireUserEventTriggered(Asks.BODY_CAME);
+        }
+    }
+
     /** Parts of a body one behind the other, without a copy; the first is taken over, the second retained. */
     static ByteBuf joined(ChannelHandlerContext ctx, ByteBuf body, ByteBuf part) {
         if (!part.isReadable()) {
@@ -162,6 +233,10 @@
         over = true;
         since = NONE;
         head = null;
+        if (arriving != null) {
+            arriving.discard();
+            arriving = null;
+        }
         body.release();
         body = Unpooled.EMPTY_BUFFER;
     }
--- a/src/main/java/deckfall/net/RequestTerms.java
+++ b/src/main/java/deckfall/net/RequestTerms.java
@@ -5,10 +5,10 @@
 import deckfall.Gateway.Request;
 import deckfall.Gateway.RequestClass;
 import deckfall.Gateway.Settings;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.AsciiString;
 import java.util.HashMap;
 import java.util.List;
@@ -52,7 +52,7 @@
      * The request as the module knows it, or null where it is missing or has malformed what it must say. Its client
      * has been waiting since it arrived, however late it is read.
      */
-    Request read(FullHttpRequest message, double now, double arrived) {
+    Request read(HttpRequest message, RequestBody body, double now, double arrived) {
         HttpHeaders h = message.headers();
         RequestClass cls = classes.get(firstPart(message.uri()));
         String plan = h.get(PLAN);
@@ -60,7 +60,7 @@
         long customer = customer(h.get(CUSTOMER));
         double left = plain(h.get(EXPIRES), false);
         if (cls == null || !plans.containsKey(plan) || !isName(id) || customer < 0 || left <= 0
-                || !fits(cls, message)) {
+                || !fits(cls, message, body)) {
             return null;
         }
         String quota = h.get(QUOTA);
@@ -72,14 +72,14 @@
         boolean right = units > 0 && units <= settings.sharing().maxUnits() && spread >= 1 && spread <= gateways
                 && first >= 0 && first < gateways && Math.floorMod(settings.me() - (int) first, gateways) < spread;
         double waits = Math.min(left, cls.deadlineMs()); // no client of this class waits longer
-        return !right ? null : new Request(id, Math.max(now + 1, arrived + waits - MARGIN_MS), arrived, h.contains(RETRY), cls.name(),
-                customer, plan, units, (int) first, (int) spread);
+        return !right ? null : new Request(id, Math.max(now + 1, arrived + waits - MARGIN_MS), arrived,
+                h.contains(RETRY), cls.name(), customer, plan, units, (int) first, (int) spread, !body.isWhole());
     }
 
     /** The method and the key of the class; what is safe to repeat has no body, and none may be sent on with it. */
-    private static boolean fits(RequestClass cls, FullHttpRequest message) {
+    private static boolean fits(RequestClass cls, HttpRequest message, RequestBody body) {
         if (cls.effect() == Effect.REPEATABLE) {
-            return message.method().equals(HttpMethod.GET) && !message.content().isReadable()
+            return message.method().equals(HttpMethod.GET) && body.isEmpty()
                     && !message.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
         }
         return message.method().equals(HttpMethod.POST)
--- a/src/main/java/deckfall/net/Transport.java
+++ b/src/main/java/deckfall/net/Transport.java
@@ -2,11 +2,13 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
@@ -25,12 +27,14 @@
             return new ServerBootstrap().group(group).channelFactory(DrainableListener::new)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                     .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
-                    .childOption(ChannelOption.TCP_NODELAY, true);
+                    .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childOption(ChannelOption.RCVBUF_ALLOCATOR, readBuffers());
         }
 
         @Override
         Bootstrap client(EventLoop loop) {
-            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.RCVBUF_ALLOCATOR, readBuffers());
         }
 
         @Override
@@ -57,6 +61,13 @@
     };
 
     private static final int BACKLOG = 512;
+    private static final int READ_MIN = 512;
+    private static final int READ_FIRST = 2048;
+    private static final int READ_MAX = 16 * 1024; // bytes a read: what streams holds little more than its window
+
+    static RecvByteBufAllocator readBuffers() {
+        return new AdaptiveRecvByteBufAllocator(READ_MIN, READ_FIRST, READ_MAX);
+    }
 
     abstract ServerBootstrap server(EventLoopGroup group);
 
--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -133,7 +133,7 @@
             TRANSPORT.server(outside).childHandler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
+                    ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY),
                             new StandInHost());
                 }
             }).bind(TRANSPORT.at(at)).sync();
@@ -163,7 +163,7 @@
                 sharing.zonePrice());
         Settings settings = new Settings(s.seed(), me, 2, s.zone(), false, s.classes(), s.plans(), s.reportNames(),
                 s.limits(), s.rules(), quick);
-        return new NodeConfig(address(me), null, null, null, List.of(), null, config.sockets(), MissingNode.getInstance(),
+        return new NodeConfig(address(me), null, null, null, List.of(), null, config.sockets(), config.memoryMb(), MissingNode.getInstance(),
                 settings, config.connectTimeoutMs(), config.idleMs(), config.maxOpen());
     }
 
@@ -171,7 +171,7 @@
         TRANSPORT.client(outside.next()).handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
+                ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY),
                         new StandInClient());
             }
         }).connect(TRANSPORT.at(address(0)));
