Compile after 50 calls, so that 300 answers warm a gateway up

Tried and left: thresholds of 30 and 100, the verifier off, other inlining: no gain beyond the scatter.

--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -52,8 +52,8 @@
  * absence of each leaves few of them: it ends at once where the fleet turns out to serve, and at a time limit.
  */
 final class WarmUp {
-    /** Answers after which nearly all that a request needs is compiled: methods are from some 200 calls on. */
-    static final int ENOUGH = 600;
+    /** Answers after which nearly all that a request needs is compiled: methods are from some 50 calls on. */
+    static final int ENOUGH = 300;
     static final long PATIENCE_MS = 8000; // at its end a node serves, warm or not
 
     private static final long QUIET_MS = 20; // in which each side hears of the other's end
