Open a customer's bucket as full as it can be, with room for one request

Cause: an even part of a small burst is less than one request, so the first of each customer was refused at each gateway, and without an answer no metered use came either. The bucket already held one request at least; it only opened short of that. Test: BooksTest.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -370,7 +370,7 @@
             int[] keepers = State.ranked(id, first, wide, peers.length, KEEPERS);
             c = new Customer(id, plan, p, first, wide, keepers, now);
             c.level = c.store = p.burst();
-            c.tokens = p.burst() / c.spread;
+            c.tokens = bucket(p, 1.0 / c.spread); // as full as it ever is
             // The ceiling's store starts with what has filled since this gateway started, never with a burst:
             // before a restart this gateway may have spent it (rule 5).
             double filled = (now - startedAt) / 1000 * p.ceilingRate() * ceilingShare(c);
@@ -405,12 +405,16 @@
         // What is let in beyond the quota takes nothing from the store: others do not empty it below nought.
         double others = now - c.meterAt < RELAX_MS ? c.meterOthers : 0;
         c.store = Math.max(0, Math.min(p.burst(), c.store + (p.rate() - others) * s));
-        double hold = Math.max(part * p.burst(), Math.min(p.burst(), set.sharing().maxUnits()));
-        c.tokens = Math.min(hold, c.tokens + part * p.rate() * s);
+        c.tokens = Math.min(bucket(p, part), c.tokens + part * p.rate() * s);
         // Units let in but not sent yet are still in the true store, and it may not overfill (rule 5).
         c.ceiling = Math.min(ceilingHold(c) - c.unsent, c.ceiling + p.ceilingRate() * ceilingShare(c) * s);
     }
 
+    /** What a bucket holds: the burst times its part, and room for one request, or it could let in none. */
+    private double bucket(Plan p, double part) {
+        return Math.max(part * p.burst(), Math.min(p.burst(), set.sharing().maxUnits()));
+    }
+
     /** This gateway's part of a customer's demand: all parts of one keeper's word sum to one. */
     private double part(double now, Customer c) {
         if (c.spread == 1) return 1;
--- a/src/test/java/deckfall/BooksTest.java
+++ b/src/test/java/deckfall/BooksTest.java
@@ -24,6 +24,19 @@
         assertEquals(before + 5, g.refused.size());
     }
 
+    /** An even part of a small burst is less than one request: the first of a customer was refused at once. */
+    @Test
+    void theFirstRequestOfACustomerIsLetInHoweverManyGatewaysShareIt() {
+        Settings s = FakeGateway.settings(0, 8);
+        Limits silent = new Limits(4, false, true, false, false, true, 500);
+        FakeGateway g = new FakeGateway(1000, new Settings(7, 0, 8, "a", false, s.classes(), s.plans(), List.of(),
+                silent, s.rules(), new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0))).withHosts("a1");
+        g.ask("first", "read", "small", 1, 4, 8);
+        g.ask("more", "read", "small", 1, 4, 8);
+        assertEquals(1, g.sends("first"));
+        assertEquals(List.of("more"), g.refused);
+    }
+
     /** What never reached a host is decided well before half of the client's time is over. */
     @Test
     void aRequestThatFindsNoHostIsRefusedEarly() {
