Ask a discovery that turns callers away less and less often

After a failure 50 ms to 1 s, doubling, with jitter; Retry-After is kept to. The rehearsal of the build also goes through reload and succession, whose classes were loaded from the jar at each start. Tests: NodeTest.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -29,6 +29,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
 /** Asks for the whole list of hosts, then watches it without a break; a silent or broken call is asked anew. */
@@ -37,7 +38,10 @@
     private static final String PATH = "/v1/servers";
     private static final long HOLD_MS = 5000; // short: what a call that went astray would have told comes soon
     private static final long PATIENCE_MS = 1000; // beyond what a call may wait
-    private static final long AGAIN_MS = 50; // after a failure; a watch is broken only after 200
+    private static final double AGAIN_MS = 50; // after a failure; a watch is broken only after 200
+    private static final double AGAIN_MAX_MS = 1000; // after many: a fleet that starts together asks together
+    private static final double TOLD_MAX_MS = 2000; // the longest wait that is heeded: its news count as told after 6 s
+    private static final double MS_PER_SECOND = 1000;
     private static final int MAX_LIST = 4 << 20;
 
     /** A host with the address at which this api gateway reaches it; null where it is gone or was not told. */
@@ -46,12 +50,14 @@
     private final Node node;
     private InetSocketAddress agent;
     private Calls current; // what an earlier one still hears or fails is of no interest
-    private boolean failing;
+    private final Random random;
+    private int failures; // since the last good answer
     private long version = -1; // -1: the whole list is still to come
 
     Discovery(Node node) {
         this.node = node;
         this.agent = node.config.discovery();
+        this.random = new Random(node.config.settings().seed());
     }
 
     void start() {
@@ -66,7 +72,7 @@
         Calls old = current;
         agent = to;
         version = -1;
-        failing = false;
+        failures = 0;
         connect();
         if (old != null) {
             old.drop();
@@ -92,17 +98,28 @@
     }
 
     private void again(Calls failed) {
+        if (failed != current) {
+            return; // another has taken over
+        }
+        double wait = Math.max(failed.toldMs, Math.min(AGAIN_MAX_MS, AGAIN_MS * Math.pow(2, failures++)));
         node.loop.schedule(() -> {
-            if (failed == current) { // else another has taken over
+            if (failed == current) {
                 connect();
             }
-        }, AGAIN_MS, TimeUnit.MILLISECONDS);
+        }, (long) (wait * (0.5 + random.nextDouble())), TimeUnit.MILLISECONDS);
+    }
+
+    /** For how long an answer asks to stay away; 0 where it does not say. */
+    private static double toldMs(FullHttpResponse response) {
+        String text = response.headers().get(HttpHeaderNames.RETRY_AFTER);
+        return Math.max(0, Math.min(TOLD_MAX_MS, MS_PER_SECOND * RequestTerms.plain(text, true)));
     }
 
     /** The calls on one connection to an agent. */
     private final class Calls extends SimpleChannelInboundHandler<FullHttpResponse> {
         private Channel channel;
         private Future<?> timeout;
+        private double toldMs;
 
         void drop() {
             if (channel != null) {
@@ -143,6 +160,7 @@
             }
             stopTimeout();
             if (!response.status().equals(HttpResponseStatus.OK)) {
+                toldMs = toldMs(response);
                 throw new IOException("discovery answered " + response.status());
             }
             JsonNode list;
@@ -152,7 +170,7 @@
                 version = -1; // what it told is lost, and the whole list holds it too
                 throw e;
             }
-            failing = false;
+            failures = 0;
             boolean whole = list.path("full").asBoolean();
             List<Entry> entries = entries(list);
             version = list.path("version").asLong(-1);
@@ -174,10 +192,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!failing && this == current) { // one line for a spell of failures, however often it is asked
+            if (failures == 0 && this == current) { // one line for a spell of failures, however often it is asked
                 Node.log("discovery: " + cause.getMessage());
             }
-            failing = true;
             ctx.close();
         }
     }
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -6,6 +6,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.ExecutionException;
 
 /**
@@ -45,6 +47,7 @@
         NodeConfig config = NodeConfig.of(JsonTree.read(
                 new ByteArrayInputStream(CONFIG.formatted(address).getBytes(StandardCharsets.UTF_8))));
         Node node = new Node(config);
+        Reload.onHangup("");
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         try (AdminServer admin = new AdminServer(any, config.sockets(), node::isReady, node::figures)) {
             if (WarmUp.run(config, WarmUp.ENOUGH, BUILD_PATIENCE_MS, () -> false) < WarmUp.ENOUGH) {
@@ -57,9 +60,7 @@
             InetSocketAddress second = new InetSocketAddress(any.getAddress(), admin.port());
             ask(second, "/api/ready", "3", 1);
             ask(second, "/api/telemetry", "4", 1);
-            if (BooksFormat.read(BooksFormat.write(node.books())) == null) {
-                throw new IOException("books can't be read");
-            }
+            follow(node);
         } catch (ExecutionException e) {
             throw new IOException(e);
         } finally {
@@ -67,6 +68,20 @@
         }
     }
 
+    private static void follow(Node node) throws IOException, InterruptedException, ExecutionException {
+        Path shared = Files.createTempDirectory(Path.of("target"), "rehearsal");
+        Succession succession = new Succession(node, shared.toString(), node.clock);
+        succession.begin();
+        succession.serving();
+        if (succession.left() != null || succession.isSucceeded()
+                || BooksFormat.read(BooksFormat.write(node.books())) == null) {
+            throw new IOException("books can't be read");
+        }
+        succession.end();
+        Files.delete(shared.resolve("caperrudder-claim"));
+        Files.delete(shared);
+    }
+
     private static void ask(InetSocketAddress at, String path, String id, int spread) throws IOException {
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.setSoTimeout(PATIENCE_MS);
--- a/src/main/java/deckfall/net/Succession.java
+++ b/src/main/java/deckfall/net/Succession.java
@@ -93,6 +93,12 @@
         return last != null && last.serving();
     }
 
+    /** Nothing is read or written from now on. */
+    void end() throws InterruptedException {
+        thread.shutdownNow();
+        thread.awaitTermination(BEAT_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void beat() {
         try {
             if (predecessor != 0) {
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -259,6 +259,34 @@
         }
     }
 
+    private static long msToNext(Server server) throws Exception {
+        assertNotNull(server.next());
+        long from = System.nanoTime();
+        assertNotNull(server.next());
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+    }
+
+    /** A fleet that starts together once asked together, twenty times a second each. */
+    @Test
+    void discoveryThatTurnsCallersAwayIsAskedLessAndLessOften() throws Exception {
+        Server refusing = kept(new Server((m, s) -> s.close()));
+        ends.push(Sockets.node(Sockets.config(refusing.address(), "127.0.0.1:0"))::stop);
+        for (int i = 0; i < 5; i++) {
+            assertNotNull(refusing.next());
+        }
+        assertTrue(msToNext(refusing) >= 300); // 0.5 to 1.5 times 1 s; the answer's way aside
+    }
+
+    @Test
+    void aTimeToStayAwayThatDiscoveryTellsIsKept() throws Exception {
+        Server busy = kept(new Server((m, s) -> {
+            s.getOutputStream().write(bytes("HTTP/1.1 503 Busy\r\nRetry-After: 1.0\r\nContent-Length: 0\r\n\r\n"));
+            s.close();
+        }));
+        ends.push(Sockets.node(Sockets.config(busy.address(), "127.0.0.1:0"))::stop);
+        assertTrue(msToNext(busy) >= 300);
+    }
+
     /** One entry that can't be read once threw the whole list away, and again each time it was asked for. */
     @Test
     void aMalformedEntryCostsOnlyItsOwnHost() throws Exception {
--- a/src/test/java/deckfall/net/SuccessionTest.java
+++ b/src/test/java/deckfall/net/SuccessionTest.java
@@ -13,6 +13,7 @@
 import deckfall.net.HandoverFiles.Claim;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -31,6 +32,7 @@
     private Path dir;
     private final Clock clock = new Clock();
     private final BlockingQueue<Books> taken = new LinkedBlockingQueue<>();
+    private final List<Succession> begun = new ArrayList<>();
     private volatile boolean beside;
     private Process other; // a process that lives
     private HandoverFiles files;
@@ -42,7 +44,10 @@
     }
 
     @AfterEach
-    void end() {
+    void end() throws Exception {
+        for (Succession s : begun) {
+            s.end();
+        }
         other.destroyForcibly();
     }
 
@@ -53,7 +58,7 @@
     }
 
     private Succession succession() {
-        return new Succession(new Succession.Party() {
+        Succession s = new Succession(new Succession.Party() {
             @Override
             public Books books() {
                 return SuccessionTest.this.books(clock.now());
@@ -69,6 +74,8 @@
                 beside = process;
             }
         }, dir.toString(), clock);
+        begun.add(s);
+        return s;
     }
 
     @Test
