Let the connection that stopped longest ago give way first in a crowd

Unfinished connections gave way by age, so a true client that takes 2 s for its head went before a crowd that had stopped.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -50,10 +50,10 @@
     private final Node node;
     private final RequestTerms terms;
     private final LinkedHashSet<Connection> connections = new LinkedHashSet<>();
-    private final LinkedHashSet<Connection> unused = new LinkedHashSet<>(); // no request came yet; the oldest first
+    private final LinkedHashSet<Connection> unused = new LinkedHashSet<>(); // no whole request came yet
     private final LinkedHashSet<Connection> casual = new LinkedHashSet<>(); // idle, asked once or for health alone
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // those that ask again and again
-    /** Who gives way first; in each set the longest idle stands first. */
+    /** Who gives way first; in each set the one stands first that has sent nothing for longest. */
     private final List<LinkedHashSet<Connection>> givingWay = List.of(unused, casual, idle);
     private Channel listener;
 
@@ -129,7 +129,7 @@
 
     /**
      * Rather a silent connection, then one that asked once, then an idle one, than no descriptor left for anyone; one
-     * in use never. A crowd whose connections come and go must not push out those that bring most of the requests.
+     * in use never, and one whose head comes slowly only after all that have stopped. A crowd whose connections come and go must not push out those that bring most of the requests.
      */
     private boolean makeRoom() {
         for (LinkedHashSet<Connection> from : givingWay) {
@@ -142,13 +142,14 @@
         return false;
     }
 
-    /** Ends a connection unless a request has come: closing that away would lose it. A part of one may be forced. */
+    /** Ends a connection unless something has just come: closing that away would lose it. What had stopped may be forced. */
     private boolean giveUp(Connection c, LinkedHashSet<Connection> from, boolean forced) {
         int before = c.whole;
+        long reads = c.reader.reads();
         if (c.channel.isActive() && c.channel.config().isAutoRead()) {
             Transport.readNow(c.channel);
         }
-        boolean free = c.whole == before && (forced || !c.reader.unfinished());
+        boolean free = c.whole == before && c.reader.reads() == reads && (forced || !c.reader.unfinished());
         if (free) {
             c.leave(); // now, as its end is told only later
             c.channel.close();
@@ -156,6 +157,8 @@
             from.remove(c); // it is being asked something, or just was and answered at once
             if (c.whole > before) {
                 c.rest();
+            } else if (from == unused) {
+                from.add(c);
             }
         }
         return free;
@@ -330,6 +333,9 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             regulate();
+            if (unused.remove(this)) { // it gets on
+                unused.add(this);
+            }
         }
 
         @Override
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -53,6 +53,7 @@
     private double progressAt;
     private long bodyBytes; // since then
     private long bodyTotal;
+    private long reads;
     private final Budget budget;
     private final Runnable room;
 
@@ -77,6 +78,7 @@
             if (since == NONE) {
                 since = clock.now();
             }
+            reads++;
             super.channelRead(ctx, bytes);
         }
 
@@ -94,6 +96,11 @@
         return since != NONE;
     }
 
+    /** How often something has come. */
+    long reads() {
+        return reads;
+    }
+
     /** Whether something unfinished comes too slowly, or no more. */
     boolean overdue(double now) {
         if (since == NONE) {
--- a/src/test/java/deckfall/net/ClientReadingTest.java
+++ b/src/test/java/deckfall/net/ClientReadingTest.java
@@ -194,6 +194,27 @@
         }
     }
 
+    /** It has sent something lately; those who came after it and stopped give way first. */
+    @Test
+    void aHeadThatComesSlowlyStaysInACrowdThatStopped() throws Exception {
+        Server host = host(SocketTest::echo);
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"sockets\": 1024", "\"sockets\": 60"));
+        ends.push(node::stop);
+        Client regular = client(node);
+        Client slow = client(node);
+        String request = view("v", Sockets.PATIENCE_MS);
+        for (int part = 0; part < 10; part++) {
+            slow.send(request.substring(part * 10, part * 10 + 10));
+            for (int i = 0; i < 8; i++) { // all of them are three times as many as fit
+                sendOrBeClosed(client(node));
+            }
+            assertEquals(200, regular.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
+        }
+        assertEquals("for v ", slow.send(request.substring(100)).receive().text());
+    }
+
     /** Many that ask for health on ever new connections once pushed out those that bring the requests. */
     @Test
     void aCrowdThatAsksOnceTakesNoRegularsPlace() throws Exception {
@@ -216,6 +237,14 @@
         }
     }
 
+    private static void sendOrBeClosed(Client c) {
+        try {
+            c.send("GET /vi");
+        } catch (IOException closed) {
+            // by then it had given way
+        }
+    }
+
     private static Message closedOr(Client c) {
         try {
             return c.receive();
