Wait for 4 KiB of a message that announces to be long before it is passed on

A false length once got the host's head to the client; a request whose client never sends the rest cost its customer units. Also ruled out by scratch logs: answers without a length (none came). Tests: StreamingTest, BooksTest.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -848,7 +848,7 @@
         c.pending.remove(ask);
         if (!ask.admitted) return;
         c.open--;
-        if (ask.attempts.isEmpty()) { // let in but never sent: the units go back
+        if (ask.attempts.isEmpty() || ask.arriving) { // let in but never sent whole: the units go back
             charge(c, -ask.request.units(), -ask.request.units());
         }
     }
--- a/src/main/java/deckfall/net/Budget.java
+++ b/src/main/java/deckfall/net/Budget.java
@@ -22,6 +22,14 @@
         return Math.min(HELD_MAX, window());
     }
 
+    /**
+     * How much of a message must have come before it is passed on. Of one that announces to be long a little does:
+     * enough to tell it from one whose length is a lie, which is better tried elsewhere.
+     */
+    int passedFrom(long announced) {
+        return announced > held() ? Math.min(WINDOW_MIN, held()) : held();
+    }
+
     int window() {
         return (int) Math.max(WINDOW_MIN, Math.min(WINDOW_MAX, bytes / Math.max(1, streams + 1)));
     }
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -62,6 +62,7 @@
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private int interim;
     private boolean clean; // answered, and nothing has come since
+    private int passedFrom; // so many bytes of the answer on
     private boolean passing; // the answer goes on as it comes
     private RequestBody upload; // of the request, where it goes on as it comes
     private boolean pumping;
@@ -315,9 +316,8 @@
         if (length > ClientServer.MAX_BODY || ahead && ++interim > INTERIM_MAX
                 || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             spoilt();
-        } else if (!ahead && length > budget.held()) {
-            pass();
         }
+        passedFrom = budget.passedFrom(length);
     }
 
     /** Whether its own framing says where the answer ends; else the connection's end does. */
@@ -357,7 +357,7 @@
     }
 
     private void goOn(ChannelHandlerContext ctx, HttpContent content) {
-        if (!passing && body.readableBytes() + content.content().readableBytes() > budget.held() && !isInterim()) {
+        if (!passing && body.readableBytes() + content.content().readableBytes() > passedFrom && !isInterim()) {
             pass();
             if (exchange == null) {
                 return;
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -47,6 +47,7 @@
     private final Decoder decoder = new Decoder();
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private int passedFrom; // so many bytes of the body on
     private RequestBody arriving; // of a request that was passed on before its end
     private boolean over;
     private double since = NONE; // when an unfinished request, or its body, began to come
@@ -160,9 +161,7 @@
         } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
             refuse(ctx, HttpResponseStatus.EXPECTATION_FAILED);
         }
-        if (!over && HttpUtil.getContentLength(request, 0L) > budget.held()) {
-            passOn(ctx);
-        }
+        passedFrom = budget.passedFrom(HttpUtil.getContentLength(request, 0L));
     }
 
     private void passOn(ChannelHandlerContext ctx) {
@@ -178,7 +177,7 @@
         int length = content.content().readableBytes();
         bodyBytes += length;
         progressAt = length > 0 ? clock.now() : progressAt;
-        if (arriving == null && body.readableBytes() + length > budget.held()) {
+        if (arriving == null && body.readableBytes() + length > passedFrom) {
             passOn(ctx);
         }
         if (arriving != null) {
--- a/src/test/java/deckfall/BooksTest.java
+++ b/src/test/java/deckfall/BooksTest.java
@@ -37,6 +37,20 @@
         assertEquals(List.of("more"), g.refused);
     }
 
+    /** A client that never sends its request whole has used nothing of its quota, wherever a part of it went. */
+    @Test
+    void aRequestThatNeverCameWholeUsesNoUnits() {
+        FakeGateway g = FakeGateway.alone().withHosts("a1");
+        for (int i = 0; i < 20; i++) {
+            g.brain.request(g.now, new Request("p" + i, g.now + 3000, g.now, false, "order", 1, "small", 4, 0, 1, true));
+            assertEquals(1, g.sends("p" + i));
+            g.brain.requestSpent(g.now, "p" + i);
+            g.brain.clientLeft(g.now, "p" + i);
+            g.end("p" + i, 0, Outcome.CANCELLED, 1);
+        }
+        assertEquals(0, g.refused.size());
+    }
+
     /** What never reached a host is decided well before half of the client's time is over. */
     @Test
     void aRequestThatFindsNoHostIsRefusedEarly() {
--- a/src/test/java/deckfall/net/StreamingTest.java
+++ b/src/test/java/deckfall/net/StreamingTest.java
@@ -183,6 +183,21 @@
         assertEquals(1, node.loop.submit(() -> node.tally().classes().get(0).errored()).get());
     }
 
+    /** A length that is a lie once got the host's answer to the client, and nobody else was asked. */
+    @Test
+    void anAnswerThatOnlyAnnouncesToBeLongIsMadeElsewhere() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        Server host = host((m, s) -> {
+            if (asked.incrementAndGet() > 1) {
+                echo(m, s);
+                return;
+            }
+            s.getOutputStream().write(bytes(OK + "Content-Length: " + LONG + "\r\n\r\nshort"));
+        });
+        assertEquals("for o b", client(nodeBefore(host)).send(order("o", "b")).receive().text());
+        assertEquals(2, asked.get());
+    }
+
     /** In pieces for longer than a silence may last: it is slow, and it gives. */
     @Test
     void anAnswerInSlowPiecesIsNotCutOff() throws Exception {
