Give cold hosts turns by what they can do, instead of by a gateway's own counts

Mean latency rose from 300 to 1050 ms, and a third of the tries were refused for want of a place.

Ruled out: refused connects (none), cancels and time-outs (under 3 a second), the rule itself (it allows twice the present capacity).

At fault: `Brain.best` let a cold host take part in a pick with 1.4 x its ramp / draws, where draws counts cold hosts too, and it then still had to win by `score`, which divides by the ramp again and knows only this gateway's own one or two requests at a warm host that holds eight from all.

Now a pick first draws whose turn it is by capacity over the health of all homes.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -1000,9 +1000,32 @@
     private Server pick(double now, Ask ask) {
         int draws = Math.min(homes.size(), DRAWS + 2 * inFlight);
         Server best = best(now, ask, ownCounts() ? homes : drawn(now, ask.cls, draws), draws);
+        Server cold = coldInTurn(now, ask);
+        if (cold != null && (best == null || cold.out.isEmpty())) return cold;
         return best != null ? best : best(now, ask, usable, usable.size());
     }
 
+    /**
+     * A cold host whose turn it is by what it can do, or null where it is a warm one's. Its own counts tell a
+     * gateway of many nothing of how full the warm hosts are: by score alone the cold ones would stay idle.
+     */
+    private Server coldInTurn(double now, Ask ask) {
+        double left = random.nextDouble() * homes.stream().mapToDouble(s -> able(now, s, ask.cls)).sum();
+        for (Server s : homes) {
+            left -= able(now, s, ask.cls);
+            if (left > 0) continue;
+            double ramp = rampOf(s, now);
+            // The colder it is, the fewer requests its limit holds: chance exceeds it sooner (rule 4).
+            boolean taken = ramp < 1 && random.nextDouble() < COLD_SAFETY * set.rules().fallMultiple() * ramp;
+            return taken && legal(now, ask, ask.ran(), s) ? s : null;
+        }
+        return null;
+    }
+
+    private double able(double now, Server s, ClassState c) {
+        return s.open() ? rampOf(s, now) / Math.max(1, slowness(now, s, c)) : 0;
+    }
+
     private boolean ownCounts() {
         return DRAWS + 2 * inFlight >= homes.size();
     }
@@ -1021,10 +1044,10 @@
         double bestScore = Double.MAX_VALUE;
         for (Server s : among) {
             if (!s.open() || !legal(now, ask, ask.ran(), s)) continue;
-            // A cold host has nothing out and so wins: it takes part as seldom as it may win (rule 4).
+            // A cold host has its turns beside; where there is no other, it takes part seldom (rule 4).
             double ramp = rampOf(s, now);
             double share = COLD_SAFETY * set.rules().fallMultiple() * ramp;
-            if (ramp < 1 && random.nextDouble() * draws > share) continue;
+            if (ramp < 1 && (among == homes || random.nextDouble() * draws > share)) continue;
             double score = score(now, ask, s) * (1 + 1e-3 * random.nextDouble());
             if (score < bestScore) best = s;
             bestScore = Math.min(bestScore, score);
--- /dev/null
+++ b/src/test/java/deckfall/FleetTest.java
@@ -0,0 +1,93 @@
+package deckfall;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import deckfall.Gateway.*;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** What many gateways do together before many hosts, each knowing only what it met itself. */
+class FleetTest {
+    private static final int GATEWAYS = 14;
+    private static final int HOSTS = 60;
+    private static final double STEP_MS = 10;
+    private static final double ANSWER_MS = 300;
+    private final List<FakeGateway> fleet = new ArrayList<>();
+    private int serial;
+
+    /** All gateways at one moment, with the given hosts. */
+    private void fleet(double now, List<Host> hosts) {
+        for (int i = 0; i < GATEWAYS; i++) {
+            FakeGateway g = new FakeGateway(now, FakeGateway.settings(i, GATEWAYS, 100 + i));
+            g.brain.hosts(now, ListKind.FULL, hosts);
+            fleet.add(g);
+        }
+    }
+
+    private static List<Host> hosts(IntStream numbers, double startedMs) {
+        return numbers.mapToObj(i -> new Host("h" + i, "a", "std", 0, HostState.RUNNING, 1, startedMs)).toList();
+    }
+
+    private static List<Host> joined(List<Host> some, List<Host> others) {
+        List<Host> all = new ArrayList<>(some);
+        all.addAll(others);
+        return all;
+    }
+
+    /** Each gateway is asked in turn, every so often, and each host answers after the same time. */
+    private void serve(double ms, double gapMs) {
+        double from = fleet.get(0).now;
+        for (double t = STEP_MS; t <= ms; t += STEP_MS) {
+            for (int i = 0; i < GATEWAYS; i++) {
+                FakeGateway g = fleet.get(i);
+                g.runTo(from + t);
+                List<FakeGateway.Sent> due = g.sent.stream()
+                        .filter(s -> s.at() <= g.now - ANSWER_MS && s.at() > g.now - ANSWER_MS - STEP_MS).toList();
+                due.forEach(s -> g.end(s.id(), 0, Outcome.OK, ANSWER_MS));
+                if ((t + i * STEP_MS) % gapMs < STEP_MS) {
+                    g.ask("r" + serial++, "read");
+                }
+            }
+        }
+    }
+
+    private long sentTo(Set<String> hosts, double from, double to) {
+        return fleet.stream().flatMap(g -> g.sent.stream())
+                .filter(s -> s.at() > from && s.at() <= to && hosts.contains(s.host())).count();
+    }
+
+    private static Set<String> ids(List<Host> hosts) {
+        return hosts.stream().map(Host::id).collect(Collectors.toSet());
+    }
+
+    @Test
+    void coldHostsTakeTheirShareOfTheWorkByWhatTheyCanDo() {
+        // join+vast: 24 warm hosts were busy all the time while 36 cold ones, at half of theirs, had a tenth of it
+        double now = 100_000;
+        List<Host> cold = hosts(IntStream.range(24, HOSTS), now - 5000); // at 0.6 of what they can do
+        fleet(now, joined(hosts(IntStream.range(0, 24), 0), cold));
+        serve(1000, 50);
+        double share = (double) sentTo(ids(cold), now, now + 1000) / sentTo(ids(joined(cold,
+                hosts(IntStream.range(0, 24), 0))), now, now + 1000);
+        double byCapacity = 36 * 0.64 / (24 + 36 * 0.64);
+        assertTrue(share > 0.8 * byCapacity && share < 1.2 * byCapacity, "cold hosts took " + share);
+    }
+
+    @Test
+    void noColdHostIsPushedOverByAllTogether() {
+        double now = 100_000;
+        List<Host> cold = hosts(IntStream.range(24, HOSTS), now);
+        List<Host> warm = hosts(IntStream.range(0, 24), 0);
+        fleet(now, joined(warm, cold));
+        serve(1000, 50);
+        double perWarm = sentTo(ids(warm), now, now + 1000) / 24.0; // these are held to be full
+        for (Host h : cold) {
+            long sent = sentTo(Set.of(h.id()), now, now + 1000);
+            assertTrue(sent <= 2 * 0.24 * perWarm + 1, h.id() + " got " + sent + " beside " + perWarm);
+        }
+    }
+}
