Ask discovery at a start only for what changed since the list that is known

Checked: each call and its answer, over all gateways. Of about 130 calls for the whole list (100 entries) 2 were answered; 60 waited in discovery's line until this side hung up after 1 s, and the rest were turned away since the line was full. The watches of the four gateways that lived on were answered in 0.2 to 0.9 s. Ruled out: the backoff (the gaps were 0.5 to 1.5 s), the agent's silence.

At fault: `Discovery.version` began at -1 though `known` carries a version, so each start asked for everything; PATIENCE_MS of 1 s gave up a place in a line that is served within 2 s. Now a start watches from the known version, and patience is 2.5 s. A client error asks for the whole list.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -35,9 +36,12 @@
 /** Asks for the whole list of hosts, then watches it without a break; a silent or broken call is asked anew. */
 final class Discovery {
     static final String LIST = "servers";
+    private static final long NONE = -1;
+    private static final String VERSION = "version";
     private static final String PATH = "/v1/servers";
     private static final long HOLD_MS = 5000; // short: what a call that went astray would have told comes soon
-    private static final long PATIENCE_MS = 1000; // beyond what a call may wait
+    private static final int CONNECT_MS = 1000;
+    private static final long PATIENCE_MS = 2500; // beyond what a call may wait: one that waits in line keeps its turn
     private static final double AGAIN_MS = 50; // after a failure; a watch is broken only after 200
     private static final double AGAIN_MAX_MS = 1000; // after many: a fleet that starts together asks together
     private static final double TOLD_MAX_MS = 2000; // the longest wait that is heeded: its news count as told after 6 s
@@ -52,12 +56,21 @@
     private Calls current; // what an earlier one still hears or fails is of no interest
     private final Random random;
     private int failures; // since the last good answer
-    private long version = -1; // -1: the whole list is still to come
+    private long version; // of the list that is held; NONE where the whole list is still to come
 
     Discovery(Node node) {
         this.node = node;
         this.agent = node.config.discovery();
         this.random = new Random(node.config.settings().seed());
+        this.version = versionOf(node.config.known());
+    }
+
+    /**
+     * Of a list that holds something; where a fleet starts, all ask, and what changed since is a fraction of the
+     * whole list. It would be wrong only where an agent numbers anew, which is told by a whole list or an error.
+     */
+    private static long versionOf(JsonNode known) {
+        return known.path(LIST).isEmpty() ? NONE : known.path(VERSION).asLong(NONE);
     }
 
     void start() {
@@ -71,7 +84,7 @@
         }
         Calls old = current;
         agent = to;
-        version = -1;
+        version = NONE;
         failures = 0;
         connect();
         if (old != null) {
@@ -84,7 +97,7 @@
         current = calls;
         new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) PATIENCE_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
@@ -138,7 +151,7 @@
         }
 
         private void call() {
-            boolean whole = version < 0;
+            boolean whole = version == NONE;
             String uri = whole ? PATH : PATH + "?from=" + version + "&hold_ms=" + HOLD_MS;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
                     Unpooled.EMPTY_BUFFER);
@@ -161,19 +174,22 @@
             stopTimeout();
             if (!response.status().equals(HttpResponseStatus.OK)) {
                 toldMs = toldMs(response);
+                if (response.status().codeClass() == HttpStatusClass.CLIENT_ERROR) {
+                    version = NONE; // it may not know the version that was asked for
+                }
                 throw new IOException("discovery answered " + response.status());
             }
             JsonNode list;
             try (InputStream in = new ByteBufInputStream(response.content())) {
                 list = JsonTree.read(in);
             } catch (IOException e) {
-                version = -1; // what it told is lost, and the whole list holds it too
+                version = NONE; // what it told is lost, and the whole list holds it too
                 throw e;
             }
             failures = 0;
             boolean whole = list.path("full").asBoolean();
             List<Entry> entries = entries(list);
-            version = list.path("version").asLong(-1);
+            version = Math.max(NONE, list.path(VERSION).asLong(NONE));
             if (HttpUtil.isKeepAlive(response)) {
                 call(); // the next call first, so that no change falls between
             } else {
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -259,6 +259,34 @@
         }
     }
 
+    /** A release that killed most of a fleet had all of them ask for whole lists, and seven of ten got none for 10 s. */
+    @Test
+    void aStartAsksOnlyForWhatChangedSinceTheListItKnows() throws Exception {
+        Server host = host(NodeTest::echo);
+        Server agent = kept(new Server((m, s) -> s.getOutputStream().write(
+                ok(m.start().contains("from=41&") ? list(43, false, entry("h2", host.address(), "ready")) : "[]"))));
+        String known = list(41, true, entry("h1", "127.0.0.1:1", "draining"));
+        Node node = Sockets.node(Sockets.config(agent.address(), "127.0.0.1:0")
+                .replace("{\"version\": 0, \"full\": true, \"servers\": []}", known));
+        ends.push(node::stop);
+        assertTrue(agent.next().start().contains("from=41&"));
+        assertTrue(agent.next().start().contains("from=43&"));
+        assertEquals(200, client(node).send(view("a", Sockets.PATIENCE_MS)).receive().status());
+    }
+
+    /** An agent that numbers anew may not know a version of before; then the whole list is due. */
+    @Test
+    void aVersionThatDiscoveryDoesNotKnowIsNotAskedForAgain() throws Exception {
+        Server agent = kept(new Server((m, s) -> s.getOutputStream().write(m.start().contains("from=41&")
+                ? bytes("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n") : ok(list(3, true)))));
+        String known = list(41, true, entry("h1", "127.0.0.1:1", "ready"));
+        ends.push(Sockets.node(Sockets.config(agent.address(), "127.0.0.1:0")
+                .replace("{\"version\": 0, \"full\": true, \"servers\": []}", known))::stop);
+        assertTrue(agent.next().start().contains("from=41&"));
+        assertFalse(agent.next().start().contains("from="));
+        assertTrue(agent.next().start().contains("from=3&"));
+    }
+
     private static long msToNext(Server server) throws Exception {
         assertNotNull(server.next());
         long from = System.nanoTime();
