--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -53,7 +53,7 @@
  */
 final class WarmUp {
     /** Answers after which nearly all that a request needs is compiled: methods are from some 50 calls on. */
-    static final int ENOUGH = 150;
+    static final int ENOUGH = 60;
     static final long PATIENCE_MS = 8000; // at its end a node serves, warm or not
 
     private static final long QUIET_MS = 20; // in which each side hears of the other's end
