Let hosts' reports of load shift the chance of a cold host's turn

Ruled out: discovery (all lists current by 20 s), refused connects (none after 20 s), further attempts (under 15 a second).

At fault: `coldInTurn` weighs turns by capacity and health alone, and a gateway's own one or two requests at a host say nothing of the twelve that it holds from all; `attemptEnded` was told it in every answer, and no decision used it.

Now a host's weight in the draw is its capacity times (1 + mean load) / (1 + own load), within 1.5 either way.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -81,6 +81,9 @@
     private static final double TROUBLED = 2.2; // slowness from which a host is worse than chance makes it
     private static final double SILENT_AFTER = 5; // expected times, and
     private static final double QUIET_MS = 400; // so much, after which it is overdue
+    private static final String IN_WORK = "inflight"; // a report's name for the requests that a host holds
+    private static final double CROWD_GAIN = 0.05; // weight of one report in what warm hosts hold on the mean
+    private static final double LEAN = 1.5; // times its share that a host gets at most for what it reports
     private static final double ZONE_COST = 0.05; // crossing zones, as share of the score of an idle host
     private static final double COLD_SAFETY = 0.7; // of a cold host's allowance: bursts fit in the rest
     private static final int HOMES = 8; // hosts a gateway keeps to, while they serve; more
@@ -114,6 +117,7 @@
     private int inFlight, answers, timeOuts;
     private double perHost = BOUND_START;
     private double capacity, turn;
+    private double crowd; // requests that a warm host holds on the mean of all reports
     private double retryTokens = RETRY_MAX / 2;
     private double latencySum, baseSum, aimShareSum;
 
@@ -1036,7 +1040,24 @@
     }
 
     private double able(double now, Server s, ClassState c) {
-        return s.open() ? rampOf(s, now) / Math.max(1, slowness(now, s, c)) : 0;
+        return s.open() ? lean(now, s) * rampOf(s, now) / Math.max(1, slowness(now, s, c)) : 0;
+    }
+
+    /**
+     * More for a host that holds less than others for what it can do, by its last report. Reports are late,
+     * so they only shift the chance of a turn: if all took the host that reports least, they would fill it.
+     */
+    private double lean(double now, Server s) {
+        if (s.reportedAt == State.NEVER) return 1;
+        return Math.max(1 / LEAN, Math.min(LEAN, (1 + crowd) / (1 + s.reported / rampOf(s, now))));
+    }
+
+    private void noteLoad(double now, Server s, double[] report) {
+        int place = set.reportNames().indexOf(IN_WORK);
+        if (place < 0 || place >= report.length) return;
+        s.reported = report[place];
+        s.reportedAt = now;
+        crowd += CROWD_GAIN * (s.reported / rampOf(s, now) - crowd);
     }
 
     private boolean ownCounts() {
@@ -1127,6 +1148,7 @@
             }
             default -> { }
         }
+        noteLoad(now, s, r.report());
         if (r.outcome() == Outcome.TIMEOUT) timeOuts++;
         if (r.outcome() == Outcome.OK) {
             latencySum += r.latencyMs();
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -163,6 +163,8 @@
         Host info;
         boolean listed = true;
         double outWork;
+        double reported; // requests that it held, of all gateways, as it last told
+        double reportedAt = NEVER;
         final Health health = new Health();
         private final Map<String, Health> byClass = new TreeMap<>();
         double coldAt = NEVER;
--- a/src/test/java/deckfall/FakeGateway.java
+++ b/src/test/java/deckfall/FakeGateway.java
@@ -56,7 +56,7 @@
     /** Gateways that can't talk to each other; a meter tells what each customer uses. */
     static Settings metered(int me, int gateways, long seed) {
         Settings s = settings(me, gateways, seed);
-        return new Settings(seed, me, gateways, s.zone(), false, s.classes(), s.plans(), List.of(),
+        return new Settings(seed, me, gateways, s.zone(), false, s.classes(), s.plans(), List.of("util", "inflight"),
                 new Limits(4, false, true, false, false, true, 500), s.rules(),
                 new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0));
     }
@@ -90,9 +90,9 @@
         end(id, attempt, outcome, latency, 0);
     }
 
-    void end(String id, int attempt, Outcome outcome, double latency, int usedPct) {
+    void end(String id, int attempt, Outcome outcome, double latency, int usedPct, double... report) {
         brain.attemptEnded(now, new AttemptResult(id, attempt, hostOf(id), outcome, latency,
-                outcome == Outcome.OK, usedPct, 0, new double[0]));
+                outcome == Outcome.OK, usedPct, 0, report));
     }
 
     String hostOf(String id) {
--- a/src/test/java/deckfall/FleetTest.java
+++ b/src/test/java/deckfall/FleetTest.java
@@ -150,6 +150,32 @@
         assertEquals(3, g.refused.size());
     }
 
+    /** The share of cold hosts, at 0.6 and more of what they can do, where each answer tells what its host holds. */
+    private double coldShare(double warmHolds, double coldHolds) {
+        FakeGateway g = new FakeGateway(100_000, FakeGateway.metered(3, GATEWAYS, 9));
+        g.brain.hosts(g.now, ListKind.FULL, joined(hosts(IntStream.range(0, 24), 0),
+                hosts(IntStream.range(24, HOSTS), g.now - 5000)));
+        int cold = 0;
+        for (int i = 0; i < 400; i++) {
+            String id = "r" + serial++;
+            g.ask(id, "read");
+            boolean isCold = Integer.parseInt(g.hostOf(id).substring(1)) >= 24;
+            cold += isCold && i >= 100 ? 1 : 0;
+            g.end(id, 0, Outcome.OK, ANSWER_MS, 0, 0.5, isCold ? coldHolds : warmHolds);
+            g.pass(5);
+        }
+        return cold / 300.0;
+    }
+
+    @Test
+    void whatHostsReportShiftsTheTurnsOfColdOnes() {
+        // herd+vast: twenty warm hosts held 11 to 15 requests each, and forty cold ones two
+        double even = coldShare(10, 7);
+        double leaning = coldShare(12, 2);
+        assertTrue(leaning > even + 0.08, leaning + " beside " + even);
+        assertTrue(leaning < 0.85, "all would follow the reports: " + leaning);
+    }
+
     @Test
     void aHostWhoseErrorsComeAtOnceIsSoonAvoidedByAll() {
         // herd+vast: nine hosts answered seven of ten requests with an error within 3 ms, and got their full share
