Ask discovery anew beside a silent watch in time for its news to be heeded

At fault: Discovery.call dropped a silent call only after HOLD_MS + PATIENCE_MS = 7.5 s, and what it missed counts as told after 6 s (or 2 s after its wait).

Ruled out: the module picks no host that is told to drain; the late requests left before the gateway had heard anything, so slow connections play no part.

Now another call is made beside a silent one, and whichever is answered first goes on.

Two tests changed, as strict as before: the backoff ones now set "discovery": "subscribe", since an agent nearby costs nothing and what it holds counts at once (its pause has a test of its own); the one of a version that is not known answers with a host, as an empty whole list is not believed any more.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -25,6 +26,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -33,17 +35,27 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
-/** Asks for the whole list of hosts, then watches it without a break; a silent or broken call is asked anew. */
+/**
+ * Asks for the list of hosts, then watches it without a break. A call that fails is made again; beside one that is
+ * silent another is made, and whichever is answered first goes on: a call that only waits in line keeps its turn, and
+ * one that an agent left unanswered while it was cut off may still be answered at its return.
+ */
 final class Discovery {
     static final String LIST = "servers";
     private static final long NONE = -1;
     private static final String VERSION = "version";
     private static final String PATH = "/v1/servers";
-    private static final long HOLD_MS = 5000; // short: what a call that went astray would have told comes soon
+    // What a silent call would have told counts as told 6 s after its silence began, or 2 s after its wait, whichever
+    // is later. A call beside it is made after 4.5 s at the latest, and so may itself wait in discovery's line.
+    private static final long HOLD_MS = 3000;
+    private static final long DOUBT_MS = 1000; // beyond what a call may wait, where the agent answers at once;
+    private static final long LINE_MS = 1500; // where the call stands in discovery's line,
     private static final int CONNECT_MS = 1000;
-    private static final long PATIENCE_MS = 2500; // beyond what a call may wait: one that waits in line keeps its turn
+    private static final long PATIENCE_MS = 2500; // and there, for a call of which an answer is due at once
+    private static final double PROMPT_SHARE = 0.4; // of a drain's grace: an agent nearby answers at once
     private static final double AGAIN_MS = 50; // after a failure; a watch is broken only after 200
     private static final double AGAIN_MAX_MS = 1000; // after many: a fleet that starts together asks together
+    private static final double AGAIN_SHARE = 0.3; // of a drain's grace, where what an agent nearby holds is told
     private static final double TOLD_MAX_MS = 2000; // the longest wait that is heeded: its news count as told after 6 s
     private static final double MS_PER_SECOND = 1000;
     private static final int MAX_LIST = 4 << 20;
@@ -52,16 +64,23 @@
     record Entry(Host host, InetSocketAddress address) { }
 
     private final Node node;
+    private final boolean pushed; // to an agent on this machine: calls cost nothing, and all that it holds is told
+    private final double graceMs; // in which a drain that was told has to be heeded
     private InetSocketAddress agent;
     private Calls current; // what an earlier one still hears or fails is of no interest
+    private Calls beside; // asked because the current one is silent, or null
     private final Random random;
+    private final Promise<Void> heard; // once there is a first answer
     private int failures; // since the last good answer
     private long version; // of the list that is held; NONE where the whole list is still to come
 
     Discovery(Node node) {
         this.node = node;
         this.agent = node.config.discovery();
+        this.pushed = !node.config.settings().subscribe();
+        this.graceMs = node.config.settings().rules().drainGraceMs();
         this.random = new Random(node.config.settings().seed());
+        this.heard = node.loop.newPromise();
         this.version = versionOf(node.config.known());
     }
 
@@ -73,8 +92,11 @@
         return known.path(LIST).isEmpty() ? NONE : known.path(VERSION).asLong(NONE);
     }
 
-    void start() {
-        connect();
+    /** Done with the first answer; after {@code patienceMs} without one, too. */
+    Future<Void> start(long patienceMs) {
+        current = open(true); // an answer at once, also where nothing is new
+        node.loop.schedule(() -> heard.trySuccess(null), patienceMs, TimeUnit.MILLISECONDS);
+        return heard;
     }
 
     /** Turns to another agent, whose versions need not go on from those of the old one: the whole list is due. */
@@ -82,20 +104,22 @@
         if (to.equals(agent)) {
             return;
         }
-        Calls old = current;
+        List<Calls> left = new ArrayList<>(List.of(current));
+        if (beside != null) {
+            left.add(beside);
+        }
         agent = to;
         version = NONE;
         failures = 0;
-        connect();
-        if (old != null) {
-            old.drop();
-        }
+        beside = null;
+        current = open(false);
+        left.forEach(Calls::drop);
     }
 
-    private void connect() {
-        Calls calls = new Calls();
-        current = calls;
-        new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
+    /** {@code prompt}: the first call is to be answered at once. */
+    private Calls open(boolean prompt) {
+        Calls calls = new Calls(prompt);
+        ChannelFuture connecting = new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<SocketChannel>() {
@@ -103,23 +127,60 @@
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_LIST), calls);
                     }
-                }).connect(agent).addListener(f -> {
-                    if (!f.isSuccess()) {
-                        again(calls);
-                    }
-                });
+                }).connect(agent);
+        calls.channel = connecting.channel();
+        connecting.addListener(f -> {
+            if (!f.isSuccess()) {
+                ended(calls);
+            }
+        });
+        return calls;
     }
 
-    private void again(Calls failed) {
-        if (failed != current) {
-            return; // another has taken over
+    private void askBeside() {
+        if (beside == null) {
+            beside = open(true);
+            beside.expectWithin(pushed ? Math.max(AGAIN_MS, PROMPT_SHARE * graceMs) : PATIENCE_MS);
         }
-        double wait = Math.max(failed.toldMs, Math.min(AGAIN_MAX_MS, AGAIN_MS * Math.pow(2, failures++)));
-        node.loop.schedule(() -> {
-            if (failed == current) {
-                connect();
-            }
-        }, (long) (wait * (0.5 + random.nextDouble())), TimeUnit.MILLISECONDS);
+    }
+
+    private void ended(Calls calls) {
+        if (calls == beside) {
+            beside = null;
+            Calls silent = current;
+            later(calls, () -> {
+                if (silent == current) {
+                    askBeside();
+                }
+            });
+        } else if (calls == current && beside != null) {
+            current = beside;
+            beside = null;
+        } else if (calls == current) {
+            later(calls, () -> {
+                if (calls == current) {
+                    current = open(false);
+                }
+            });
+        }
+    }
+
+    private void later(Calls failed, Runnable again) {
+        double most = pushed ? Math.max(AGAIN_MS, Math.min(AGAIN_MAX_MS, AGAIN_SHARE * graceMs)) : AGAIN_MAX_MS;
+        double wait = Math.max(failed.toldMs, Math.min(most, AGAIN_MS * Math.pow(2, failures++)));
+        node.loop.schedule(again, (long) (wait * (0.5 + random.nextDouble())), TimeUnit.MILLISECONDS);
+    }
+
+    /** What was answered first is followed from now on. */
+    private void follow(Calls answered) {
+        Calls other = answered == current ? beside : current;
+        current = answered;
+        beside = null;
+        failures = 0;
+        if (other != null) {
+            other.drop();
+        }
+        heard.trySuccess(null);
     }
 
     /** For how long an answer asks to stay away; 0 where it does not say. */
@@ -133,31 +194,54 @@
         private Channel channel;
         private Future<?> timeout;
         private double toldMs;
+        private boolean prompt; // the next call is to be answered at once
+
+        Calls(boolean prompt) {
+            this.prompt = prompt;
+            expectWithin(CONNECT_MS + DOUBT_MS);
+        }
 
         void drop() {
-            if (channel != null) {
-                channel.close();
-            }
+            channel.close();
+        }
+
+        private boolean isHeard() {
+            return this == current || this == beside;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            channel = ctx.channel();
-            if (this == current) {
+            if (isHeard()) {
                 call();
             } else {
-                channel.close();
+                ctx.close();
             }
         }
 
         private void call() {
             boolean whole = version == NONE;
-            String uri = whole ? PATH : PATH + "?from=" + version + "&hold_ms=" + HOLD_MS;
+            long hold = whole || prompt ? 0 : HOLD_MS;
+            prompt = false;
+            String uri = whole ? PATH : PATH + "?from=" + version + "&hold_ms=" + hold;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
                     Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             channel.writeAndFlush(request, channel.voidPromise());
-            timeout = node.loop.schedule(this::drop, (whole ? 0 : HOLD_MS) + PATIENCE_MS, TimeUnit.MILLISECONDS);
+            if (this == current) {
+                expectWithin(hold + (pushed ? DOUBT_MS : hold > 0 ? LINE_MS : PATIENCE_MS));
+            }
+        }
+
+        /** Whoever is silent for longer is doubted: beside the current call another one is made. */
+        void expectWithin(double ms) {
+            stopTimeout();
+            timeout = node.loop.schedule(() -> {
+                if (this == beside) {
+                    drop();
+                } else if (this == current) {
+                    askBeside();
+                }
+            }, (long) ms, TimeUnit.MILLISECONDS);
         }
 
         private void stopTimeout() {
@@ -168,10 +252,9 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) throws IOException {
-            if (this != current) {
-                return; // an agent that was left: its word may be older than what the new one told
+            if (!isHeard()) {
+                return; // of an agent that was left, or late: its word may be older than what was told since
             }
-            stopTimeout();
             if (!response.status().equals(HttpResponseStatus.OK)) {
                 toldMs = toldMs(response);
                 if (response.status().codeClass() == HttpStatusClass.CLIENT_ERROR) {
@@ -186,13 +269,20 @@
                 version = NONE; // what it told is lost, and the whole list holds it too
                 throw e;
             }
-            failures = 0;
+            if (!list.path(VERSION).isIntegralNumber() || !list.path(LIST).isArray()) {
+                throw new IOException("a list without a version or without hosts");
+            }
             boolean whole = list.path("full").asBoolean();
             List<Entry> entries = entries(list);
+            if (whole && entries.isEmpty() && node.knowsHosts()) {
+                throw new IOException("an empty list"); // a fleet with no host at all is less likely than a fault
+            }
+            follow(this);
             version = Math.max(NONE, list.path(VERSION).asLong(NONE));
             if (HttpUtil.isKeepAlive(response)) {
                 call(); // the next call first, so that no change falls between
             } else {
+                stopTimeout();
                 ctx.close();
             }
             if (whole || !entries.isEmpty()) {
@@ -203,12 +293,12 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             stopTimeout();
-            again(this);
+            ended(this);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (failures == 0 && this == current) { // one line for a spell of failures, however often it is asked
+            if (failures == 0 && isHeard()) { // one line for a spell of failures, however often it is asked
                 Node.log("discovery: " + cause.getMessage());
             }
             ctx.close();
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -111,6 +111,11 @@
         }
     }
 
+    /** Whether the list names any host. */
+    boolean known() {
+        return !pools.isEmpty();
+    }
+
     private void close(Pool pool) {
         if (pool != null) {
             pool.closed = true;
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -40,6 +40,7 @@
  */
 public final class Node implements Actions, Succession.Party {
     private static final long EXIT_MS = 3400; // after SIGTERM: the last bytes have had their time
+    private static final long FIRST_LIST_MS = 500; // an agent nearby that serves has answered by then
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final long FIGURES_MS = 100; // how often the figures of the second address are renewed
     private static final double MICROS_PER_MS = 1000;
@@ -142,9 +143,11 @@
                 if (!peers.started()) {
                     peers.start();
                 }
-                discovery.start();
-                return listen(left);
-            }).sync().getNow().sync();
+                begin(left);
+                return discovery.start(FIRST_LIST_MS);
+            }).sync().getNow().sync(); // what the agent holds counts as told before the first client comes
+            loop.submit(clients::start).sync().getNow().sync();
+            listening = true;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -188,12 +191,13 @@
         return loop.submit(peers::hasHeard).syncUninterruptibly().getNow();
     }
 
-    /** Begins to serve, on the event loop, with the hosts that the configuration names. */
+    /** Serves, on the event loop, the hosts that the configuration names and no others. */
     ChannelFuture listen() {
-        return listen(null);
+        begin(null);
+        return clients.start().addListener(f -> listening = f.isSuccess());
     }
 
-    private ChannelFuture listen(Books left) {
+    private void begin(Books left) {
         serving = true;
         lag.start();
         tell((now, m) -> m.start(now, config.settings()));
@@ -205,7 +209,6 @@
             tell((now, m) -> m.inherited(now, left));
         }
         renewFigures();
-        return clients.start().addListener(f -> listening = f.isSuccess());
     }
 
     /**
@@ -437,6 +440,10 @@
         }
     }
 
+    boolean knowsHosts() {
+        return hosts.known();
+    }
+
     void hostsTold(ListKind kind, List<Discovery.Entry> entries) {
         hosts.listed(kind, entries);
         List<Host> list = new ArrayList<>(entries.size());
--- /dev/null
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -0,0 +1,190 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.bytes;
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.list;
+import static deckfall.net.Sockets.ok;
+import static deckfall.net.Sockets.view;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Server;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Calls to discovery that fall silent, come late or are answered with what can't be a list. */
+class DiscoveryTest extends SocketTest {
+    private static final String NONE_KNOWN = "{\"version\": 0, \"full\": true, \"servers\": []}";
+
+    private Node node(Server agent, String known, String mode) throws IOException {
+        Node node = Sockets.node(Sockets.config(agent.address(), "127.0.0.1:0").replace(NONE_KNOWN, known)
+                .replace("\"az\": \"a\"", "\"az\": \"a\", \"discovery\": \"" + mode + "\"")
+                .replace("\"rules\": {", "\"rules\": {\"drain_grace_ms\": 500, "));
+        ends.push(node::stop);
+        return node;
+    }
+
+    /** An agent whose calls a test answers by hand. */
+    private static final class ByHand {
+        private final BlockingQueue<Socket> calls = new LinkedBlockingQueue<>();
+        final Server server = new Server((m, s) -> calls.add(s));
+
+        ByHand() throws IOException { }
+
+        Socket next() throws InterruptedException {
+            Socket s = calls.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            assertNotNull(s, "no call came");
+            return s;
+        }
+
+        void answer(Socket s, String body) throws IOException {
+            s.getOutputStream().write(ok(body));
+        }
+    }
+
+    /** Seen: calls that fell silent were made again after 7.5 s, and a drain counts as told after 6 to 7. */
+    @ParameterizedTest
+    @ValueSource(strings = {"automatic", "subscribe"})
+    void aSilentWatchIsOpenedAnewBeforeItsNewsCounts(String mode) throws Exception {
+        Server old = host(SocketTest::echo);
+        Server fresh = host(SocketTest::echo);
+        ByHand agent = new ByHand();
+        kept(agent.server);
+        Thread answering = new Thread(() -> {
+            try {
+                agent.answer(agent.next(), list(1, true, entry("h0", old.address(), "ready")));
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        answering.start();
+        Node node = node(agent.server, NONE_KNOWN, mode);
+        answering.join();
+        Socket silent = agent.next(); // the watch
+        long from = System.nanoTime();
+        Socket beside = agent.next();
+        assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) < 5000, "later than 6 s less a line");
+        agent.answer(beside, list(2, false, entry("h0", old.address(), "draining"),
+                entry("h1", fresh.address(), "ready")));
+        assertNotNull(agent.next()); // once it has been heard
+        assertNull(Sockets.read(silent.getInputStream())); // and the silent one is left
+        Client c = client(node);
+        assertEquals("for v ", c.send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(0, old.asked.size());
+    }
+
+    /** An agent that was cut off answers at its return what it was asked before: that call must still be open. */
+    @Test
+    void aSilentCallIsStillHeardAndMadeAgainWithinADrainsGrace() throws Exception {
+        Server fresh = host(SocketTest::echo);
+        ByHand agent = new ByHand();
+        kept(agent.server);
+        Node node = node(agent.server, NONE_KNOWN, "automatic");
+        Socket silent = agent.next();
+        long from = 0;
+        for (int i = 0; i < 4; i++) {
+            assertNotNull(agent.next());
+            if (i > 0) {
+                long gap = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+                assertTrue(gap < 1000, "made again after " + gap); // 200 ms and at most 225, on a busy machine
+            }
+            from = System.nanoTime();
+        }
+        agent.answer(silent, list(1, true, entry("h0", fresh.address(), "ready")));
+        while (agent.next() != silent) { // its next call says that the list has been heard
+            continue;
+        }
+        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+    }
+
+    /** Seen in the code: a new process took clients by the list that it was started with, however old. */
+    @Test
+    void noClientComesBeforeWhatTheAgentHoldsIsHeard() throws Exception {
+        Server drained = host(SocketTest::echo);
+        Server fresh = host(SocketTest::echo);
+        CountDownLatch started = new CountDownLatch(1);
+        AtomicBoolean early = new AtomicBoolean();
+        Server agent = kept(new Server((m, s) -> {
+            if (m.start().contains("from=41&")) {
+                early.set(started.await(200, TimeUnit.MILLISECONDS));
+                s.getOutputStream().write(ok(list(42, false, entry("h0", drained.address(), "draining"),
+                        entry("h1", fresh.address(), "ready"))));
+            }
+        }));
+        Node node = node(agent, list(41, true, entry("h0", drained.address(), "ready")), "automatic");
+        started.countDown();
+        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertFalse(early.get());
+        assertEquals(0, drained.asked.size());
+    }
+
+    /** Each of these once emptied the list, or was asked for again thousands of times a second. */
+    @ParameterizedTest
+    @ValueSource(strings = {"{\"version\":2,\"full\":true,\"servers\":[]}", "{\"full\":true,\"servers\":[]}",
+        "{\"full\":false,\"servers\":[]}", "{\"version\":3,\"full\":true}", "[]", "{\"version\":\"x\",\"servers\":[]}",
+        "{\"version\":4,\"full\":true,\"servers\":[", "", "not JSON"})
+    void whatIsNoListLeavesTheLastGoodOneAndIsAskedAgainLessAndLessOften(String bad) throws Exception {
+        Server host = host(SocketTest::echo);
+        Server agent = kept(new Server((m, s) -> s.getOutputStream().write(ok(bad))));
+        Node node = node(agent, list(41, true, entry("h0", host.address(), "ready")), "subscribe");
+        for (int i = 0; i < 5; i++) {
+            assertNotNull(agent.next());
+        }
+        long from = System.nanoTime();
+        assertNotNull(agent.next());
+        assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) >= 300, "after 0.5 to 1.5 times 0.8 s");
+        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+    }
+
+    /** A list that never ends is one that is silent. */
+    @Test
+    void anEndlessListIsAskedForBeside() throws Exception {
+        Server host = host(SocketTest::echo);
+        AtomicBoolean first = new AtomicBoolean(true);
+        CountDownLatch heard = new CountDownLatch(1);
+        Server agent = kept(new Server((m, s) -> {
+            if (first.getAndSet(false)) {
+                s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+                while (!heard.await(20, TimeUnit.MILLISECONDS)) {
+                    s.getOutputStream().write(bytes("1\r\n \r\n"));
+                }
+            } else if (m.start().contains("from=1&")) {
+                heard.countDown();
+            } else {
+                s.getOutputStream().write(ok(list(1, true, entry("h0", host.address(), "ready"))));
+            }
+        }));
+        Node node = node(agent, NONE_KNOWN, "automatic");
+        assertTrue(heard.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+    }
+
+    /** Lists come with blanks and line ends, too. */
+    @Test
+    void anIndentedListIsRead() throws Exception {
+        Server host = host(SocketTest::echo);
+        Server agent = kept(new Server((m, s) -> {
+            if (!m.start().contains("from=1&")) {
+                s.getOutputStream().write(ok(list(1, true, entry("h0", host.address(), "ready"))
+                        .replace(",", ",\r\n    ").replace("{", " {\n\t").replace("}", "\n}\n")));
+            }
+        }));
+        Node node = node(agent, NONE_KNOWN, "automatic");
+        for (int i = 0; i < 2; i++) {
+            assertNotNull(agent.next());
+        }
+        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+    }
+}
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -278,7 +278,8 @@
     @Test
     void aVersionThatDiscoveryDoesNotKnowIsNotAskedForAgain() throws Exception {
         Server agent = kept(new Server((m, s) -> s.getOutputStream().write(m.start().contains("from=41&")
-                ? bytes("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n") : ok(list(3, true)))));
+                ? bytes("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+                : ok(list(3, true, entry("h1", "127.0.0.1:1", "ready"))))));
         String known = list(41, true, entry("h1", "127.0.0.1:1", "ready"));
         ends.push(Sockets.node(Sockets.config(agent.address(), "127.0.0.1:0")
                 .replace("{\"version\": 0, \"full\": true, \"servers\": []}", known))::stop);
@@ -294,11 +295,17 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
     }
 
+    /** Of a node that has to ask a service for its lists; an agent nearby answers at no cost. */
+    private static String asking(Server discovery) {
+        return Sockets.config(discovery.address(), "127.0.0.1:0")
+                .replace("\"az\": \"a\"", "\"az\": \"a\", \"discovery\": \"subscribe\"");
+    }
+
     /** A fleet that starts together once asked together, twenty times a second each. */
     @Test
     void discoveryThatTurnsCallersAwayIsAskedLessAndLessOften() throws Exception {
         Server refusing = kept(new Server((m, s) -> s.close()));
-        ends.push(Sockets.node(Sockets.config(refusing.address(), "127.0.0.1:0"))::stop);
+        ends.push(Sockets.node(asking(refusing))::stop);
         for (int i = 0; i < 5; i++) {
             assertNotNull(refusing.next());
         }
@@ -311,7 +318,7 @@
             s.getOutputStream().write(bytes("HTTP/1.1 503 Busy\r\nRetry-After: 1.0\r\nContent-Length: 0\r\n\r\n"));
             s.close();
         }));
-        ends.push(Sockets.node(Sockets.config(busy.address(), "127.0.0.1:0"))::stop);
+        ends.push(Sockets.node(asking(busy))::stop);
         assertTrue(msToNext(busy) >= 300);
     }
 
