Look again at host and client before writing on a connection that came up late

With a listener whose queue is kept full, a host that was told to drain (or gone) while its connection came up still got the request, as did one whose client had left where limits.cancel is false.

At fault: HostClient.connect, the listener of the connect: message.writeTo(c) with no look at Pool.closed, at the host's state or at the request.

Ruled out: with limits.cancel the connection under way is closed with its client; that was right and has a test now. Idle connections: the module picks no draining host, and a pool that is closed gives none out.

--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -37,6 +37,11 @@
         }
     }
 
+    @Override
+    boolean isWanted() {
+        return !owner.closed();
+    }
+
     @Override
     void written() {
         node.tally().sent();
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -61,12 +61,18 @@
         final double startedMs;
         final ArrayDeque<HostConnection> idle = new ArrayDeque<>(); // the last used at the end
         boolean closed;
+        boolean draining;
 
         Pool(InetSocketAddress address, double startedMs) {
             this.address = address;
             this.startedMs = startedMs;
         }
 
+        /** Whether its host, in the same life, still takes new work. */
+        boolean takesNew() {
+            return !closed && !draining;
+        }
+
         @Override
         public boolean closed() {
             return closed;
@@ -99,6 +105,10 @@
                 pools.put(id, new Pool(e.address(), e.host().startedMs()));
                 close(old);
             }
+            Pool now = pools.get(id);
+            if (now != null) {
+                now.draining = e.host().state() == HostState.DRAINING;
+            }
         }
         if (kind != ListKind.CHANGES) {
             pools.entrySet().removeIf(p -> {
@@ -263,8 +273,16 @@
                 return;
             }
             connecting.channel().closeFuture().addListener(closed -> connections--);
-            if (c.awaits(x)) {
+            if (!c.awaits(x)) {
+                return;
+            }
+            // While it came up the list may have told that the host drains, is gone or has started anew, and the
+            // client may have left: what reached no host yet is then not sent.
+            if (pool.takesNew() && x.isWanted()) {
                 message.writeTo(c);
+            } else {
+                c.lost();
+                c.close();
             }
         });
     }
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -82,6 +82,11 @@
     abstract static class Exchange {
         private HostConnection connection;
 
+        /** Whether it is still to be sent, where its connection took time to come up. */
+        boolean isWanted() {
+            return true;
+        }
+
         /** Its last byte has left for the host. */
         void written() { }
 
--- /dev/null
+++ b/src/test/java/deckfall/net/LateConnectionTest.java
@@ -0,0 +1,121 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.list;
+import static deckfall.net.Sockets.view;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Registry;
+import deckfall.net.Sockets.Server;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What comes between the start of a connection to a host and its end: it comes up only when a test lets it. */
+class LateConnectionTest extends SocketTest {
+
+    /** A host that takes connections only once it is let: until then its queue is full. */
+    private static final class Shut implements Closeable {
+        private static final int FULL_MS = 300;
+        private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> fillers = new ArrayList<>();
+
+        Shut() throws IOException {
+            boolean full = false;
+            while (!full) {
+                Socket s = new Socket();
+                fillers.add(s);
+                try {
+                    s.connect(new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort()), FULL_MS);
+                } catch (SocketTimeoutException e) {
+                    full = true;
+                }
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        /** What a gateway sent first on its connection; nothing where it ended that first. */
+        String first(int bytes) throws IOException {
+            int standing = fillers.size() - 1;
+            for (int i = 0; i < standing; i++) {
+                listener.accept().close();
+            }
+            listener.setSoTimeout(Sockets.PATIENCE_MS);
+            try (Socket s = listener.accept()) {
+                s.setSoTimeout(Sockets.PATIENCE_MS);
+                return new String(s.getInputStream().readNBytes(bytes), StandardCharsets.US_ASCII);
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+            for (Socket s : fillers) {
+                s.close();
+            }
+        }
+    }
+
+    private static void awaitCurrent(Node node, long count) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (node.figures().current() != count) {
+            assertTrue(System.nanoTime() < end, "not " + count + " requests open");
+            Thread.onSpinWait();
+        }
+    }
+
+    /** The message was once written without another look at the list. */
+    @ParameterizedTest
+    @ValueSource(strings = {"draining", "gone"})
+    void aConnectionThatComesUpAfterADrainWasToldCarriesNothing(String state) throws Exception {
+        Shut late = kept(new Shut());
+        Server fresh = host(SocketTest::echo);
+        Node node = nodeWith(entry("h0", late.address(), "ready"));
+        awaitWatches(1);
+        Client c = client(node).send(view("v", Sockets.PATIENCE_MS));
+        awaitCurrent(node, 1);
+        registry.news.add(list(2, false, entry("h0", late.address(), state), entry("h1", fresh.address(), "ready")));
+        awaitWatches(2);
+        assertEquals("", late.first(1));
+        assertEquals("for v ", c.receive().text());
+        assertEquals(1, fresh.asked.size());
+    }
+
+    /** Where attempts may not be cancelled its connection still comes up; nothing was sent that could be cancelled. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aRequestWhoseClientLeavesUnderANewConnectionIsNotSent(boolean cancel) throws Exception {
+        Shut late = kept(new Shut());
+        registry = kept(new Registry(list(1, true, entry("h0", late.address(), "ready"))));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"cancel\": true", "\"cancel\": " + cancel));
+        ends.push(node::stop);
+        Client c = client(node).send(view("v", Sockets.PATIENCE_MS));
+        awaitCurrent(node, 1);
+        c.close();
+        awaitCurrent(node, 0);
+        if (cancel) { // else nothing would come
+            Client next = client(node).send(view("w", Sockets.PATIENCE_MS));
+            awaitCurrent(node, 1);
+            assertEquals("GET /view/w?z=3", late.first("GET /view/w?z=3".length()));
+            next.close();
+        } else {
+            assertEquals("", late.first(1));
+        }
+    }
+}
