Take SIGTERM from before the listener opens, and open none once it came

At fault: Node.main installed its shutdown hook only after start(), which listens: SIGTERM between the two ended the process with whatever it had just taken, and one while the first list was waited for ended it with 143. The hook itself would have drained a node that then began to listen.

Now the hook comes first, and Node.end and Node.open meet on the event loop: whichever comes first decides. Checked and right already: a second SIGTERM (the process is ending and nothing is done twice), SIGHUP before the node serves (Reload.due) and in a drain (discovery moves).

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -78,6 +78,10 @@
         return bound;
     }
 
+    boolean started() {
+        return listener != null;
+    }
+
     ChannelFuture stopAccepting() {
         return Transport.stopAccepting(listener);
     }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -115,29 +115,31 @@
         try {
             NodeConfig config = NodeConfig.read(configFile).withAdmin(adminAddress);
             Node node = new Node(config);
+            Succession succession = new Succession(node, System.getenv("TMPDIR"), node.clock);
+            // Before it listens: SIGTERM between the two would end the process with what it had just taken.
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> node.drainAndHalt(succession)));
             node.openSecondAddress();
             node.loop.execute(node.peers::start);
-            Succession succession = new Succession(node, System.getenv("TMPDIR"), node.clock);
             succession.begin();
             log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, succession.warmUpMs(WarmUp.PATIENCE_MS),
                     node::isMissed) + " answers");
-            node.start(succession.left());
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> node.drainAndHalt(succession)));
-            succession.serving();
-            reload.follow(node);
+            if (node.start(succession.left())) {
+                succession.serving();
+                reload.follow(node);
+            }
         } catch (NodeConfig.BadConfig | IOException | InterruptedException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
     }
 
-    /** Returns once clients are served. */
-    void start() throws IOException {
-        start(null);
+    /** Returns once clients are served; false where it was told to end before. */
+    boolean start() throws IOException {
+        return start(null);
     }
 
     /** With what another process of this gateway left, or null. */
-    private void start(Books left) throws IOException {
+    private boolean start(Books left) throws IOException {
         try {
             loop.submit(() -> {
                 if (!peers.started()) {
@@ -146,8 +148,11 @@
                 begin(left);
                 return discovery.start(FIRST_LIST_MS);
             }).sync().getNow().sync(); // what the agent holds counts as told before the first client comes
-            loop.submit(clients::start).sync().getNow().sync();
-            listening = true;
+            ChannelFuture bound = loop.submit(this::open).sync().getNow();
+            if (bound != null) {
+                bound.sync();
+            }
+            return bound != null;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -194,7 +199,12 @@
     /** Serves, on the event loop, the hosts that the configuration names and no others. */
     ChannelFuture listen() {
         begin(null);
-        return clients.start().addListener(f -> listening = f.isSuccess());
+        return open();
+    }
+
+    /** Null where this gateway has been told to end: nobody is taken then. */
+    private ChannelFuture open() {
+        return closing || ending ? null : clients.start().addListener(f -> listening = f.isSuccess() && !ending);
     }
 
     private void begin(Books left) {
@@ -546,7 +556,8 @@
     // ---- the end
 
     private void drainAndHalt(Succession succession) {
-        loop.execute(succession.isSucceeded() ? this::giveWay : this::drain);
+        boolean succeeded = succession.isSucceeded();
+        loop.execute(() -> end(succeeded));
         try {
             awaitDrained(EXIT_MS);
         } catch (InterruptedException e) {
@@ -555,6 +566,18 @@
         Runtime.getRuntime().halt(0);
     }
 
+    /** Told to end, at whatever moment: also before it took anyone. */
+    void end(boolean succeeded) {
+        if (!clients.started()) {
+            ending = true;
+            drained.countDown();
+        } else if (succeeded) {
+            giveWay();
+        } else {
+            drain();
+        }
+    }
+
     /** Accepts and serves on for a while, since clients still come; answers all; then lets the process end. */
     void drain() {
         ending = true;
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -128,6 +128,19 @@
         assertEquals(0, process.exitValue());
     }
 
+    /** Between its first call for the list, just before it listens, and its first client, it once died of the signal. */
+    @Test
+    void sigtermJustBeforeItListensEndsItInOrder() throws Exception {
+        try (Sockets.Server silent = new Sockets.Server((m, s) -> { })) {
+            choosePort();
+            start(config(silent.address()));
+            assertTrue(silent.next() != null);
+            process.destroy();
+            assertTrue(process.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertEquals(0, process.exitValue());
+        }
+    }
+
     /** SIGHUP once ended the process; each new file moves discovery, and one that can't be read moves nothing. */
     @Test
     void sighupFollowsDiscoveryAndSigtermStillEndsIt() throws Exception {
