End a drain without losing answers that wait for their client

A client that had asked ahead and was slow to take its answers counted as idle as soon as its channel was not writable: at stopServing it got "Connection reset" in the middle of an answer, and what it had sent ahead had none. A request that was half read stayed open until the process ended, so that its last byte could come right before the exit.

At fault: ClientServer.giveUp, which closed with bytes in the outbound buffer and requests in Connection.waiting; write() and begin(), which let the first answer of a drain end a connection with more requests waiting; Node.endAll, which left unfinished requests alone.

Ruled out, each with a look at the code or a test: halt with unflushed bytes (the count of connections reaches nought only after they are written); a half-read request at closeIdle (it is kept and served, now with a test); hung hosts at endAll (aDrainEndsWhatAHostNeverAnswers); short deadlines (aDrainServesAsLongAsTheKillLeavesTime).

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -86,13 +86,22 @@
         return Transport.stopAccepting(listener);
     }
 
-    /** Ends every connection on which nothing is asked. */
+    /** Ends every connection on which nothing is asked, once it has taken its last answer. */
     void closeIdle() {
         for (LinkedHashSet<Connection> from : givingWay) {
-            List.copyOf(from).forEach(c -> giveUp(c, from, false));
+            for (Connection c : List.copyOf(from)) {
+                if (!giveUp(c, from, false)) {
+                    c.closeOnceTaken();
+                }
+            }
         }
     }
 
+    /** Ends every connection on which no whole request is open: what is unfinished will not be served any more. */
+    void closeUnfinished() {
+        List.copyOf(connections).forEach(Connection::closeUnfinished);
+    }
+
     boolean idle() {
         return connections.isEmpty();
     }
@@ -153,13 +162,15 @@
         if (c.channel.isActive() && c.channel.config().isAutoRead()) {
             Transport.readNow(c.channel);
         }
-        boolean free = c.whole == before && c.reader.reads() == reads && (forced || !c.reader.unfinished());
+        boolean free = c.whole == before && c.reader.reads() == reads && (forced || !c.reader.unfinished())
+                && (c.spared || !c.owes());
+        c.spared |= c.owes();
         if (free) {
             c.leave(); // now, as its end is told only later
             c.channel.close();
         } else {
             from.remove(c); // it is being asked something, or just was and answered at once
-            if (c.whole > before) {
+            if (c.whole > before || c.owes()) {
                 c.rest();
             } else if (from == unused) {
                 from.add(c);
@@ -187,6 +198,7 @@
         private int requests; // those of them that the module was to decide
         private int faults;
         private boolean paused;
+        private boolean spared; // it was to be closed while it had yet to take its last answer
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -204,6 +216,33 @@
             unused.add(this);
         }
 
+        /** Whether an answer still waits to be taken, or a request for its turn: closing would lose either. */
+        private boolean owes() {
+            return !waiting.isEmpty() || channel.isActive() && channel.unsafe().outboundBuffer() != null
+                    && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > 0;
+        }
+
+        private void closeOnceTaken() {
+            if (!busy && !ended && owes() && waiting.isEmpty() && !reader.unfinished()) {
+                ended = true;
+                leavePlace();
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        private void closeUnfinished() {
+            if (busy || ended || owes()) {
+                return; // it ends with its answer
+            }
+            if (channel.isActive() && channel.config().isAutoRead()) {
+                Transport.readNow(channel); // the end may have come since
+            }
+            if (!busy && !ended && !owes()) {
+                leave();
+                channel.close();
+            }
+        }
+
         private void leave() {
             connections.remove(this);
             leavePlace();
@@ -450,7 +489,7 @@
             } else if (chunks) {
                 to.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             }
-            closes = !keepAlive || node.closing() || length < 0 && !chunks;
+            closes = isLast() || length < 0 && !chunks;
             if (closes) {
                 to.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
@@ -481,7 +520,7 @@
         void end(boolean whole) {
             stream(null);
             if (whole) {
-                over(LastHttpContent.EMPTY_LAST_CONTENT, closes || node.closing());
+                over(LastHttpContent.EMPTY_LAST_CONTENT, closes || isLast());
             } else {
                 current = null;
                 ended = true;
@@ -503,17 +542,23 @@
         private void write(FullHttpResponse response) {
             ByteBuf body = response.content();
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-            boolean last = !keepAlive || node.closing();
+            boolean last = isLast();
             if (last) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             over(response, last);
         }
 
+        /** Whether the connection ends with this answer: in a drain only after what was sent ahead, too, has its own. */
+        private boolean isLast() {
+            return !keepAlive || node.closing() && waiting.isEmpty();
+        }
+
         /** Writes the end of an answer. What still comes of its request is read away: a close would reset the answer. */
         private void over(HttpObject end, boolean last) {
             current = null;
             busy = false;
+            spared = false;
             ended = last;
             if (upload != null) {
                 upload.discard();
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -609,9 +609,10 @@
         awaitEmpty();
     }
 
-    /** Gives up every attempt; what follows from that is answered as ever. */
+    /** Gives up every attempt and what came of requests that are not whole; all else is answered as ever. */
     void endAll() {
         over = true;
+        clients.closeUnfinished();
         for (OpenRequest r : open.values().stream().filter(o -> o.passing == null).toList()) {
             endAttempts(r); // the module refuses or fails it, as its further attempts are void now
         }
--- a/src/test/java/deckfall/net/DrainTest.java
+++ b/src/test/java/deckfall/net/DrainTest.java
@@ -1,17 +1,110 @@
 package deckfall.net;
 
+import static deckfall.net.Sockets.bytes;
 import static deckfall.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Server;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** What crosses a planned stop: each request taken gets its one answer. */
 class DrainTest extends SocketTest {
 
+    /** A client that takes nothing yet, so that answers wait here for it. */
+    private Socket slowClient(Node node) throws Exception {
+        Socket s = kept(new Socket());
+        s.setReceiveBufferSize(4096);
+        s.setSoTimeout(Sockets.PATIENCE_MS);
+        s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), node.port()));
+        return s;
+    }
+
+    /** Until no request goes out any more although many wait. */
+    private static void awaitStall(Node node) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        Figures last = node.figures();
+        for (int same = 0; same < 3; ) {
+            assertTrue(System.nanoTime() < end, "it never stalled");
+            Figures now = node.figures();
+            if (now != last) {
+                same = now.current() == 0 && now.sends() > 0 && now.sends() == last.sends() ? same + 1 : 0;
+                last = now;
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    /** The connection counted as idle and was closed: answers that its client had yet to take were lost. */
+    @Test
+    void answersThatWaitForTheirClientAreTakenBeforeTheConnectionEnds() throws Exception {
+        String body = "x".repeat(60_000);
+        Node node = nodeBefore(host((m, s) -> s.getOutputStream().write(Sockets.ok(body))));
+        int count = 400; // more than the buffers of both sides hold
+        Socket slow = slowClient(node);
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            all.append(view("v" + i, Sockets.PATIENCE_MS));
+        }
+        Thread asking = new Thread(() -> {
+            try {
+                slow.getOutputStream().write(bytes(all.toString()));
+            } catch (java.io.IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        asking.start();
+        awaitStall(node);
+        node.loop.submit(node::stopServing).sync();
+        int got = 0;
+        for (Message m = Sockets.read(slow.getInputStream()); m != null && m.header("Connection") == null;
+                m = Sockets.read(slow.getInputStream())) {
+            assertEquals(body.length(), m.body().length);
+            got++;
+        }
+        assertTrue(got >= 16, "only " + got + " answers came whole"); // what had been read, and what was on its way
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
+    /** Its end may come only after the process has gone; closing says that nothing was taken. */
+    @Test
+    void aHalfReadRequestIsClosedOnOnceNothingIsServedAnyMore() throws Exception {
+        Node node = nodeBefore(host(SocketTest::echo));
+        Client half = client(node);
+        assertEquals(200, half.send(view("v", Sockets.PATIENCE_MS)).receive().status());
+        half.send("GET /view/w HTTP/1.1\r\nX-Tr");
+        Client other = client(node); // answered after the half has been read
+        assertEquals(200, other.send(view("x", Sockets.PATIENCE_MS)).receive().status());
+        node.loop.submit(node::stopServing).sync();
+        node.loop.submit(node::endAll).sync();
+        assertNull(half.receive());
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
+    /** The rest of a request that was half read when idle connections were closed is still taken. */
+    @Test
+    void aHalfReadRequestThatEndsInTimeIsServed() throws Exception {
+        Node node = nodeBefore(host(SocketTest::echo));
+        Client half = client(node);
+        assertEquals(200, half.send(view("v", Sockets.PATIENCE_MS)).receive().status());
+        String request = view("w", Sockets.PATIENCE_MS);
+        half.send(request.substring(0, 30));
+        assertEquals(200, client(node).send(view("x", Sockets.PATIENCE_MS)).receive().status());
+        node.loop.submit(node::stopServing).sync();
+        Message answer = half.send(request.substring(30)).receive();
+        assertEquals("for w ", answer.text());
+        assertEquals("close", answer.header("Connection"));
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
     /** Told to end before it took anyone, it takes nobody and is done. */
     @Test
     void aNodeThatIsToEndBeforeItListensNeverDoes() throws Exception {
