See that a client has left also while its connection is not read on

A client sent 24 requests ahead and left while the first waited in the queue: that one was sent to the next host that came, since a socket that is not read (16 requests read ahead) does not tell its end.

At fault: ClientServer.regulate, which turned reading off at the socket.

Now a valve ahead of the decoder keeps up to 4 KiB of what comes meanwhile, and behind it the end is seen. A body that is not whole still stops the socket itself. Left: a client that leaves more than that unread behind it is seen only later.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -159,7 +159,7 @@
     private boolean giveUp(Connection c, LinkedHashSet<Connection> from, boolean forced) {
         int before = c.whole;
         long reads = c.reader.reads();
-        if (c.channel.isActive() && c.channel.config().isAutoRead()) {
+        if (c.channel.isActive() && !c.reader.valve().isShut()) {
             Transport.readNow(c.channel);
         }
         boolean free = c.whole == before && c.reader.reads() == reads && (forced || !c.reader.unfinished())
@@ -218,12 +218,12 @@
 
         /** Whether an answer still waits to be taken, or a request for its turn: closing would lose either. */
         private boolean owes() {
-            return !waiting.isEmpty() || channel.isActive() && channel.unsafe().outboundBuffer() != null
+            return !waiting.isEmpty() || reader.valve().holds() || channel.isActive() && channel.unsafe().outboundBuffer() != null
                     && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > 0;
         }
 
         private void closeOnceTaken() {
-            if (!busy && !ended && owes() && waiting.isEmpty() && !reader.unfinished()) {
+            if (!busy && !ended && owes() && waiting.isEmpty() && !reader.valve().holds() && !reader.unfinished()) {
                 ended = true;
                 leavePlace();
                 channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -234,7 +234,7 @@
             if (busy || ended || owes()) {
                 return; // it ends with its answer
             }
-            if (channel.isActive() && channel.config().isAutoRead()) {
+            if (channel.isActive() && !reader.valve().isShut()) {
                 Transport.readNow(channel); // the end may have come since
             }
             if (!busy && !ended && !owes()) {
@@ -292,11 +292,11 @@
             }
             boolean owes = upload != null || !busy && !ended;
             boolean silent = whole == 0 && !busy && now - idleSince > SILENT_MS;
-            return owes && channel.config().isAutoRead() && (silent || reader.overdue(now));
+            return owes && !reader.valve().isShut() && (silent || reader.overdue(now));
         }
 
         private void timeOut() {
-            if (channel.isActive() && channel.config().isAutoRead()) {
+            if (channel.isActive() && !reader.valve().isShut()) {
                 Transport.readNow(channel); // it may have come while this loop was busy
             }
             if (!overdue(node.clock.now())) {
@@ -394,10 +394,10 @@
         private void regulate() {
             boolean full = reader.arriving() != null && reader.arriving().isFull();
             if (paused || full || waiting.size() >= PIPELINED) {
-                channel.config().setAutoRead(false);
-            } else if (!channel.config().isAutoRead()) {
+                reader.valve().shut(!full); // the client of a request that is whole may leave while it waits
+            } else if (reader.valve().isShut()) {
                 reader.resume();
-                channel.config().setAutoRead(true);
+                reader.valve().open();
             }
         }
 
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -44,6 +44,7 @@
     enum Asks { TO_GO_ON, BODY_CAME }
 
     private final Clock clock;
+    private final Valve valve = new Valve();
     private final Decoder decoder = new Decoder();
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -89,7 +90,11 @@
     }
 
     void addTo(ChannelPipeline pipeline) {
-        pipeline.addLast(new HttpResponseEncoder(), decoder, this);
+        pipeline.addLast(valve, new HttpResponseEncoder(), decoder, this);
+    }
+
+    Valve valve() {
+        return valve;
     }
 
     /** Whether a part of a request has come and not its end. */
@@ -203,7 +208,7 @@
         }
         arriving.add(content.content().retain());
         if (arriving.isFull()) {
-            ctx.channel().config().setAutoRead(false); // at once: more may stand in the socket
+            valve.shut(false); // at once: more may stand in the socket
         }
         if (content instanceof LastHttpContent) {
             RequestBody ended = arriving;
--- a/src/test/java/deckfall/net/LateConnectionTest.java
+++ b/src/test/java/deckfall/net/LateConnectionTest.java
@@ -4,7 +4,6 @@
 import static deckfall.net.Sockets.list;
 import static deckfall.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Registry;
@@ -19,7 +18,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -71,14 +69,6 @@
         }
     }
 
-    private static void awaitCurrent(Node node, long count) throws Exception {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
-        while (node.figures().current() != count) {
-            assertTrue(System.nanoTime() < end, "not " + count + " requests open");
-            Thread.onSpinWait();
-        }
-    }
-
     /** The message was once written without another look at the list. */
     @ParameterizedTest
     @ValueSource(strings = {"draining", "gone"})
--- a/src/test/java/deckfall/net/SocketTest.java
+++ b/src/test/java/deckfall/net/SocketTest.java
@@ -100,6 +100,14 @@
         return kept(new Client(node));
     }
 
+    static void awaitCurrent(Node node, long count) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (node.figures().current() != count) {
+            assertTrue(System.nanoTime() < end, "not " + count + " requests open");
+            Thread.onSpinWait();
+        }
+    }
+
     void awaitWatches(int count) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
         while (registry.server.asked.stream().filter(m -> m.start().contains("from=")).count() < count) {
