End an answer that never ends with its request's time, or at the longest length

Seen: in tests. A host that answers with one-byte chunks for ever is passed on after 1 s (HOLD_MS), and from then on the request had no end but its client's: Node.deadline returned for whatever is passed on. Chunks that never end passed the 40 MiB that a length may announce.

At fault: Node.deadline, which took each answer on its way for a long one; and HostConnection.goOn, which looked at the announced length alone.

Ruled out: headers without end (the decoder's 8 KiB, or the request's time), 1xx without end (16 are let pass), an answer that stops (250 ms, 5 s where it is passed on).

Now an answer of up to 64 KiB, for which the protocol times the last byte, ends with its request's time where its client takes what comes; the client sees that it is not whole. Without the mend the new test does not end.

--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -4,16 +4,20 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 
 /** One attempt of an open request at one host. */
 final class Attempt extends HostConnection.Exchange {
+    private static final int LONG_BYTES = 64 * 1024; // the protocol's: up to here the last byte has to come in time
+
     final OpenRequest owner;
     final int number;
     final String host;
     private double sentAt; // of a body on its way, the last byte
     private double firstAt; // of an answer that is passed on, the first bytes
     private HttpResponse passed;
+    private long passedBytes;
     private final Node node;
     boolean ended;
     private Future<?> timeout;
@@ -64,6 +68,7 @@
 
     @Override
     void part(ByteBuf part) {
+        passedBytes += part.readableBytes();
         node.answerPart(this, part);
     }
 
@@ -72,6 +77,11 @@
         return (passed == null ? now : firstAt) - sentAt;
     }
 
+    /** Whether what is passed on is an answer so long that the client's time is for its first bytes alone. */
+    boolean isLong() {
+        return passedBytes > LONG_BYTES || passed != null && HttpUtil.getContentLength(passed, 0L) > LONG_BYTES;
+    }
+
     /** The head of what the host answered; null where nothing came. */
     HttpResponse told(HttpResponse response) {
         return response == null ? passed : response;
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -509,6 +509,11 @@
             source = from;
         }
 
+        /** Whether the client takes what it is given as fast as that comes. */
+        boolean takes() {
+            return channel.isWritable();
+        }
+
         void part(ByteBuf part) {
             channel.writeAndFlush(new DefaultHttpContent(part), channel.voidPromise());
             if (source != null) { // else the write has ended the connection
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -63,6 +63,7 @@
     private int interim;
     private boolean clean; // answered, and nothing has come since
     private int passedFrom; // so many bytes of the answer on
+    private long passedBytes;
     private boolean passing; // the answer goes on as it comes
     private RequestBody upload; // of the request, where it goes on as it comes
     private boolean pumping;
@@ -341,6 +342,7 @@
             close();
         } else if (exchange.begun(head)) {
             passing = true;
+            passedBytes = body.readableBytes();
             ByteBuf first = body;
             body = Unpooled.EMPTY_BUFFER;
             pass(first);
@@ -369,6 +371,11 @@
             }
         }
         if (passing) {
+            passedBytes += content.content().readableBytes();
+            if (passedBytes > ClientServer.MAX_BODY) { // of an answer that did not tell its length
+                spoilt();
+                return;
+            }
             pass(content.content().retain());
         } else {
             body = RequestReader.joined(ctx, body, content.content());
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -357,10 +357,10 @@
 
     /** Rule 1: attempts end with the client's time, and what the module then leaves unanswered fails here. */
     private void deadline(OpenRequest r) {
-        if (r.passing != null) {
+        if (r.passing != null && (r.closed() || r.passing.isLong() || !r.client().takes())) {
             return; // the first bytes came in time, and the rest has the client's
         }
-        endAttempts(r);
+        endAttempts(r); // a short answer that goes on and on is none: its client sees that it is not whole
         if (!r.closed()) {
             log("defect: no answer from the module in time, request failed");
             answer(r, Tally.End.ERRORED, HttpResponseStatus.GATEWAY_TIMEOUT, 0);
--- a/src/test/java/deckfall/net/StreamingTest.java
+++ b/src/test/java/deckfall/net/StreamingTest.java
@@ -312,4 +312,33 @@
         assertEquals(100, c.receive().status());
         assertEquals("for o " + text(content(LONG)), c.send(text(content(LONG))).receive().text());
     }
+
+    /** All that comes until the connection ends, but no more than the last part of it is kept. */
+    private static String end(InputStream in) throws IOException {
+        byte[] some = new byte[PIECE];
+        String last = "";
+        for (int n = in.read(some); n >= 0; n = in.read(some)) {
+            last = (last + new String(some, 0, n, StandardCharsets.ISO_8859_1));
+            last = last.substring(Math.max(0, last.length() - 100));
+        }
+        return last;
+    }
+
+    /** Passed on after a second, a short answer that went on and on was open for as long as its client stayed. */
+    @ParameterizedTest
+    @ValueSource(strings = {"1\r\nx\r\n", "400\r\n"})
+    void anAnswerWithoutEndEndsWithItsTimeOrAtTheLongestLength(String chunk) throws Exception {
+        boolean slow = chunk.startsWith("1");
+        CountDownLatch never = new CountDownLatch(1);
+        byte[] piece = bytes(slow ? chunk : (chunk + "y".repeat(1024) + "\r\n").repeat(64));
+        Server host = host((m, s) -> {
+            s.getOutputStream().write(bytes(OK + "Transfer-Encoding: chunked\r\n\r\n"));
+            while (!slow || !never.await(20, TimeUnit.MILLISECONDS)) {
+                s.getOutputStream().write(piece);
+            }
+        });
+        Client c = client(nodeBefore(host)).send(view("v", slow ? 2500 : Sockets.PATIENCE_MS));
+        assertTrue(!end(c.socket.getInputStream()).endsWith("0\r\n\r\n"), "it looks whole");
+        assertNotNull(host.ended.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+    }
 }
