Repeat a keyed request only where it arrives within its window on a late connection too

Seen: in the code, then in a test. At fault: Brain.repeatable, which sent a repeat on until 0.9 of the key's window had passed. With a window of 1.5 s (the second deployment) that leaves 150 ms, and a connection may take the settings' connect_timeout_ms (250): the repeat then arrives when hosts have forgotten the key, and runs twice.

Ruled out: the window's begin (counted from when the first attempt was sent, which is before it ran); the check at release (legal is asked again for what waited in the queue).

Limits now holds connect_timeout_ms from the settings. GuardsTest without the mend: the repeat at 700 of 1000 ms is sent.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -1106,10 +1106,11 @@
                 || ask.cls.spec.scope().together(s.info, ran.server.info));
     }
 
-    private static boolean repeatable(double now, Ask ask, Attempt ran) {
+    private boolean repeatable(double now, Ask ask, Attempt ran) {
         RequestClass spec = ask.cls.spec;
+        double arrives = now + set.limits().connectTimeoutMs(); // at the latest, on a new connection
         return ran == null || spec.effect() == Effect.REPEATABLE
-                || spec.effect() == Effect.KEYED && now < ran.sentAt + WINDOW_SHARE * spec.windowMs();
+                || spec.effect() == Effect.KEYED && arrives < ran.sentAt + WINDOW_SHARE * spec.windowMs();
     }
 
     private boolean mayTryAgain(double now, Ask ask) {
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -42,7 +42,7 @@
             double overCost, double ceilingRate, double ceilingBurst, double ceilingSlack) { }
 
     public record Limits(int maxAttempts, boolean duplicates, boolean cancel, boolean probes, boolean peers,
-            boolean retryAfter, double maxRetryAfterMs) { }
+            boolean retryAfter, double maxRetryAfterMs, double connectTimeoutMs) { }
 
     public record Rules(double answerSlackMs, double drainGraceMs, double fallMultiple, double fallMs,
             double coldFrom, double warmWithinMs, double askWithinMs) { }
--- a/src/main/java/deckfall/wire/SettingsReader.java
+++ b/src/main/java/deckfall/wire/SettingsReader.java
@@ -19,7 +19,7 @@
         Limits limits = new Limits(f.count("limits.max_attempts", 1), f.flag("limits.may_duplicate", false),
                 f.flag("limits.cancel", false), f.flag("limits.probes", false),
                 f.flag("limits.peer_messages", false), f.flag("limits.retry_after", false),
-                f.number("limits.max_retry_after_ms", 0));
+                f.number("limits.max_retry_after_ms", 0), f.number("limits.connect_timeout_ms", 0));
         Rules rules = new Rules(f.number("rules.answer_slack_ms", 0), f.number("rules.drain_grace_ms", 0),
                 f.number("rules.fall_multiple", 1), f.number("rules.fall_ms", 0),
                 f.number("rules.cold_from", 0), f.number("rules.warm_within_ms", 0),
--- a/src/test/java/deckfall/BooksTest.java
+++ b/src/test/java/deckfall/BooksTest.java
@@ -28,7 +28,7 @@
     @Test
     void theFirstRequestOfACustomerIsLetInHoweverManyGatewaysShareIt() {
         Settings s = FakeGateway.settings(0, 8);
-        Limits silent = new Limits(4, false, true, false, false, true, 500);
+        Limits silent = new Limits(4, false, true, false, false, true, 500, 0);
         FakeGateway g = new FakeGateway(1000, new Settings(7, 0, 8, "a", false, s.classes(), s.plans(), List.of(),
                 silent, s.rules(), new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0))).withHosts("a1");
         g.ask("first", "read", "small", 1, 4, 8);
--- a/src/test/java/deckfall/FakeGateway.java
+++ b/src/test/java/deckfall/FakeGateway.java
@@ -48,7 +48,7 @@
     static Settings settings(int me, int gateways, long seed) {
         return new Settings(seed, me, gateways, "a", false, List.of(READ, PAY, ORDER),
                 List.of(SMALL, CAPPED, OPEN, FREE), List.of(),
-                new Limits(4, false, true, true, true, true, 500),
+                new Limits(4, false, true, true, true, true, 500, 250),
                 new Rules(8, 500, 2, 1000, 0.2, 10_000, 0),
                 new Sharing(false, 0, 0, false, 4, 60, 0.01, 0.01, 0.01));
     }
@@ -57,7 +57,7 @@
     static Settings metered(int me, int gateways, long seed) {
         Settings s = settings(me, gateways, seed);
         return new Settings(seed, me, gateways, s.zone(), false, s.classes(), s.plans(), List.of("util", "inflight"),
-                new Limits(4, false, true, false, false, true, 500), s.rules(),
+                new Limits(4, false, true, false, false, true, 500, 250), s.rules(),
                 new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0));
     }
 
--- a/src/test/java/deckfall/GuardsTest.java
+++ b/src/test/java/deckfall/GuardsTest.java
@@ -88,6 +88,19 @@
         assertEquals(List.of("o"), g.failed);
     }
 
+    /** It was once sent on until nine tenths of the window, and its connection could come up after all of it. */
+    @Test
+    void aKeyedRepeatArrivesWithinItsWindowAlsoOnALateConnection() {
+        for (boolean late : List.of(false, true)) { // by the window of 1000 ms and a connect time-out of 250
+            FakeGateway g = FakeGateway.alone().withHosts("a1", "a2");
+            g.ask("o", "order");
+            g.pass(late ? 700 : 600);
+            g.end("o", 0, Outcome.RESET, 10);
+            assertEquals(late ? 1 : 2, g.sends("o"));
+            assertEquals(late ? List.of("o") : List.of(), g.failed);
+        }
+    }
+
     @Test
     void drainedAndGoneHostsGetNothingNew() {
         for (HostState state : List.of(HostState.DRAINING, HostState.GONE)) {
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -246,7 +246,7 @@
     /** One of three gateways where only the meter tells; five requests have used up its even part of the store. */
     private static int letInOfFour(int usedPct) {
         Settings s = FakeGateway.settings(0, 3);
-        Limits alone = new Limits(4, false, true, false, false, true, 500);
+        Limits alone = new Limits(4, false, true, false, false, true, 500, 0);
         FakeGateway g = new FakeGateway(1000, new Settings(s.seed(), 0, 3, s.zone(), false, s.classes(), s.plans(),
                 s.reportNames(), alone, s.rules(), new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0)));
         g.withHosts("a1", "a2", "a3");
