--- /dev/null
+++ b/src/test/java/deckfall/QuotaFleetTest.java
@@ -0,0 +1,177 @@
+package deckfall;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.Gateway.*;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A customer's quota holds over a fleet whose gateways know of each other's use only by the meter, late. */
+class QuotaFleetTest {
+    private static final int GATEWAYS = 20;
+    private static final int HOSTS = 80; // enough that only quotas decide
+    private static final double RUN_MS = 30_000;
+    private static final double ANSWER_MS = 200;
+    private static final double PERIOD_MS = 1000; // of the meter
+    private static final double LATE_MS = 800; // from a period's end to its figure; also how late the other policy sees
+    private static final double MORE = 0.1; // of the worth inside, that tries beyond may cost more
+    private static final double REFUSED_WITH_ROOM = 0.04; // the design's limit on quiet days
+
+    /** One try as the customers make them, whatever became of those before. */
+    private record Try(double at, int gateway, long customer, Plan plan) { }
+
+    /** What all have used: the store that counts, and how it stood before. */
+    private static final class Store {
+        private final Plan plan;
+        private final TreeMap<Double, Double> before = new TreeMap<>();
+
+        Store(Plan plan) {
+            this.plan = plan;
+            before.put(0.0, plan.burst());
+        }
+
+        double level(double at) {
+            Map.Entry<Double, Double> last = before.floorEntry(Math.max(0, at));
+            return Math.min(plan.burst(), last.getValue() + plan.rate() * (Math.max(0, at) - last.getKey()) / 1000);
+        }
+
+        /** Whether it was inside the quota; what is beyond takes nothing. */
+        boolean take(double at) {
+            boolean inside = level(at) >= 1;
+            before.put(at, level(at) - (inside ? 1 : 0));
+            return inside;
+        }
+    }
+
+    private static final class Tally {
+        double worth; // of what one who sees all tries would let in
+        double cost; // of what was let in beyond
+        int tries;
+        int refusedWithRoom;
+
+        double price() {
+            return cost / worth;
+        }
+
+        double withRoom() {
+            return (double) refusedWithRoom / tries;
+        }
+    }
+
+    private static Plan plan(String name, double rate, double seconds, double overCost) {
+        return new Plan(name, rate, Math.max(2, rate * seconds), 0, 1, 0, overCost, 0, 0, 0);
+    }
+
+    /** Most use a part of their quota, some nearly all, a few much more, each mostly at some of the gateways. */
+    private static List<Try> tries(long seed, List<Plan> plans) {
+        Random r = new Random(seed);
+        List<Try> all = new ArrayList<>();
+        for (int customer = 1; customer <= 60; customer++) {
+            Plan p = plans.get(customer % plans.size());
+            double kind = r.nextDouble();
+            double use = kind < 0.7 ? 0.2 + 0.3 * r.nextDouble() : kind < 0.92 ? 0.9 : 1.9 + 1.5 * r.nextDouble();
+            int busiest = r.nextInt(GATEWAYS);
+            for (double at = 1; at < RUN_MS; at += -Math.log(1 - r.nextDouble()) * 1000 / (use * p.rate())) {
+                int gateway = (busiest + (int) (GATEWAYS * Math.pow(r.nextDouble(), 2))) % GATEWAYS;
+                all.add(new Try(at, gateway, customer, p));
+            }
+        }
+        all.sort(Comparator.comparingDouble(Try::at));
+        return all;
+    }
+
+    private static void count(Tally t, Store s, Try of, boolean in) {
+        boolean room = s.level(of.at()) >= Math.max(1, of.plan().burst() / 2); // as the bench counts it: half unused
+        t.tries++;
+        if (!in) {
+            t.refusedWithRoom += room ? 1 : 0;
+        } else if (!s.take(of.at())) {
+            t.cost += of.plan().overCost();
+        }
+    }
+
+    private static double worth(List<Try> tries) {
+        Map<Long, Store> stores = new HashMap<>();
+        return tries.stream().filter(t -> stores.computeIfAbsent(t.customer(), c -> new Store(t.plan())).take(t.at()))
+                .count();
+    }
+
+    private static Tally seenLate(List<Try> tries) {
+        Tally tally = new Tally();
+        tally.worth = worth(tries);
+        Map<Long, Store> stores = new HashMap<>();
+        for (Try t : tries) {
+            Store s = stores.computeIfAbsent(t.customer(), c -> new Store(t.plan()));
+            count(tally, s, t, s.level(t.at() - LATE_MS) >= 1);
+        }
+        return tally;
+    }
+
+    /** Units that all let in during the last finished period whose figure has come, in percent of the rate, plus 1. */
+    private static int metered(List<Double> uses, Plan p, double now) {
+        double end = Math.floor((now - LATE_MS) / PERIOD_MS) * PERIOD_MS;
+        long units = uses.stream().filter(u -> u >= end - PERIOD_MS && u < end).count();
+        return 1 + (int) (100 * units * 1000 / PERIOD_MS / p.rate());
+    }
+
+    private static Tally byTheFleet(long seed, List<Try> tries, List<Plan> plans) {
+        Settings s = FakeGateway.metered(0, GATEWAYS, seed);
+        List<FakeGateway> fleet = new ArrayList<>();
+        String[] hosts = IntStream.range(0, HOSTS).mapToObj(h -> "a" + h).toArray(String[]::new);
+        for (int i = 0; i < GATEWAYS; i++) {
+            Settings own = new Settings(seed + i, i, GATEWAYS, "a", false, s.classes(), plans, s.reportNames(),
+                    s.limits(), s.rules(), new Sharing(false, 0, PERIOD_MS, false, 1, 0, 0, 0, 0));
+            fleet.add(new FakeGateway(0, own).withHosts(hosts));
+        }
+        Tally tally = new Tally();
+        tally.worth = worth(tries);
+        Map<Long, Store> stores = new HashMap<>();
+        Map<Long, List<Double>> uses = new HashMap<>();
+        PriorityQueue<Try> answers = new PriorityQueue<>(Comparator.comparingDouble(Try::at));
+        Map<Try, String> ids = new HashMap<>();
+        int serial = 0;
+        for (Try t : tries) {
+            for (; !answers.isEmpty() && answers.peek().at() + ANSWER_MS <= t.at(); answers.poll()) {
+                Try of = answers.peek();
+                FakeGateway g = fleet.get(of.gateway());
+                g.runTo(of.at() + ANSWER_MS);
+                g.end(ids.get(of), 0, Outcome.OK, ANSWER_MS, metered(uses.get(of.customer()), of.plan(), g.now));
+            }
+            FakeGateway g = fleet.get(t.gateway());
+            g.runTo(t.at());
+            String id = "t" + serial++;
+            g.brain.request(t.at(), new Request(id, t.at() + 3000, t.at(), false, "read", t.customer(),
+                    t.plan().name(), 1, 0, GATEWAYS));
+            boolean in = g.sends(id) > 0;
+            count(tally, stores.computeIfAbsent(t.customer(), c -> new Store(t.plan())), t, in);
+            if (in) {
+                uses.computeIfAbsent(t.customer(), c -> new ArrayList<>()).add(t.at());
+                ids.put(t, id);
+                answers.add(t);
+            }
+        }
+        return tally;
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void whatPassesBeyondQuotasOnAQuietDayCostsLittleMoreThanIfAllWereSeenLate(long seed) {
+        List<Plan> plans = List.of(plan("low", 0.8, 4, 1.2), plan("middle", 3, 4, 0.5), plan("high", 11, 2, 0.8));
+        List<Try> tries = tries(seed, plans);
+        Tally fleet = byTheFleet(seed, tries, plans);
+        Tally late = seenLate(tries);
+        String told = "price %.3f, seen late %.3f; refused with room %.3f".formatted(fleet.price(), late.price(),
+                fleet.withRoom());
+        assertTrue(fleet.price() <= late.price() + MORE, told);
+        assertTrue(fleet.withRoom() < REFUSED_WITH_ROOM, told);
+    }
+}
