--- a/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -187,4 +187,53 @@
         }
         assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
     }
+
+    /** A new configuration that names the same agent leaves the watch as it is, and what that tells is heard. */
+    @Test
+    void theSameAddressAgainKeepsTheWatch() throws Exception {
+        Server host = host(SocketTest::echo);
+        Node node = nodeWith();
+        awaitWatches(1);
+        node.reload(node.config);
+        node.loop.submit(() -> { }).sync(); // it has been taken in
+        registry.news.add(list(2, false, entry("h0", host.address(), "ready")));
+        awaitWatches(2);
+        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(1, registry.server.asked.stream().filter(m -> !m.start().contains("from=")).count());
+    }
+
+    /** Twice told to move before the first new agent has answered: only the last one is heard. */
+    @Test
+    void aMoveDuringAMoveIsFollowedToTheLastAgent() throws Exception {
+        Server gone = host(SocketTest::echo);
+        Server fresh = host(SocketTest::echo);
+        Node node = nodeWith();
+        ByHand between = new ByHand();
+        kept(between.server);
+        Server last = kept(new Server((m, s) -> {
+            if (!m.start().contains("from=")) {
+                s.getOutputStream().write(ok(list(1, true, entry("h1", fresh.address(), "ready"))));
+            }
+        }));
+        node.reload(configured(between.server));
+        Socket late = between.next();
+        node.reload(configured(last));
+        for (int i = 0; i < 2; i++) {
+            assertNotNull(last.next());
+        }
+        try {
+            late.getOutputStream().write(ok(list(900, true, entry("h0", gone.address(), "ready"))));
+        } catch (IOException closed) {
+            // the gateway has left it: then it can't be heard at all
+        }
+        for (int i = 0; i < 3; i++) {
+            assertEquals("for v" + i + " ", client(node).send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+        }
+        assertEquals(0, gone.asked.size());
+    }
+
+    private static NodeConfig configured(Server agent) throws IOException {
+        return NodeConfig.of(new com.fasterxml.jackson.databind.ObjectMapper()
+                .readTree(Sockets.config(agent.address(), "127.0.0.1:0")));
+    }
 }
