Hold a limit on open attempts over the fleet by the meter's peak

Cause: meter() left at once where a plan has no rate, though there the meter tells the most attempts out at once in percent of the limit; openAdmits() then let one in at each of up to 48 gateways. Ruled out: customers of one gateway and of two (none beyond), further attempts.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -26,6 +26,7 @@
     private static final double LAG_MS = 60; // a told figure's age on arrival: half a gap and the way
     private static final double METER_LAG_MS = 1300; // a metered figure's age: half its period and the way
     private static final double METER_KEPT_MS = 20_000; // a metered figure this old tells nothing any more
+    private static final double PEAK_KEPT_MS = 5000; // a metered peak of attempts out holds so long
     private static final double BUSY = 1.5; // of the rate: metered use from which others empty the store
     private static final double SPARE = 2; // times its units in the store, where no word of others is fresh
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
@@ -193,7 +194,7 @@
         ClassState cls = ask.cls;
         ask.admitted = true;
         Customer c = ask.customer;
-        if (c != null) c.open++;
+        if (c != null) c.openPeak = Math.max(c.openPeak, ++c.open);
         if (c != null) charge(c, ask.request.units(), ask.request.units());
         if (cls.queue.isEmpty()) cls.turn = Math.max(cls.turn, turn);
         cls.queue.addLast(ask);
@@ -408,6 +409,7 @@
         c.demand *= fade;
         c.others *= fade;
         c.useRate *= fade;
+        c.openPeak = Math.max(c.open, c.openPeak * fade);
         c.touchedAt = now;
         c.level = Math.min(p.burst(), c.level + p.rate() * s);
         // What is let in beyond the quota takes nothing from the store: others do not empty it below nought.
@@ -423,6 +425,11 @@
         return Math.max(part * p.burst(), Math.min(p.burst(), set.sharing().maxUnits()));
     }
 
+    /** Whether gateways learn of each other's use by the meter alone. */
+    private boolean metered() {
+        return !set.limits().peers() && set.sharing().meterPeriodMs() > 0;
+    }
+
     /** This gateway's part of a customer's demand: all parts of one keeper's word sum to one. */
     private double part(double now, Customer c) {
         if (c.spread == 1) return 1;
@@ -461,7 +468,7 @@
         boolean room = !limited || keeper == set.me() && asks
                 || c.tokens >= units && (!asks || now - c.newsAt < FRESH_MS)
                 || asks && now - c.newsAt < FRESH_MS && c.level - reserve(now, c) >= units
-                || !asks && set.sharing().meterPeriodMs() > 0 && meterAdmits(now, c, units);
+                || metered() && meterAdmits(now, c, units);
         boolean ceiling = p.ceilingRate() <= 0 || c.ceiling >= units; // rule 5: own units need no peer
         if (room && ceiling) return Verdict.IN;
         return asks ? Verdict.ASK : Verdict.OUT;
@@ -489,8 +496,9 @@
 
     private boolean openAdmits(double now, Customer c) {
         int limit = c.plan.openLimit();
-        boolean fresh = c.spread == 1 || set.limits().peers()
-                && (keeper(now, c, 0) == set.me() || now - c.newsAt < FRESH_MS);
+        boolean fresh = c.spread == 1 || (set.limits().peers()
+                ? keeper(now, c, 0) == set.me() || now - c.newsAt < FRESH_MS
+                : c.plan.rate() <= 0 && now - c.meterAt < PEAK_KEPT_MS);
         return limit <= 0 || (fresh ? c.open + c.othersOpen < limit
                 : c.open < Math.max(1, (int) (limit * part(now, c))));
     }
@@ -517,7 +525,15 @@
     }
 
     private void meter(double now, Customer c, int usedPct) {
-        if (usedPct <= 0 || set.limits().peers() || c.plan.rate() <= 0) return;
+        if (usedPct <= 0 || !metered()) return;
+        if (c.plan.rate() <= 0) { // it tells the most attempts out at once of late, in percent of their limit
+            touch(now, c);
+            double peak = (usedPct - 1) / 100.0 * c.plan.openLimit();
+            c.othersOpen = c.spread == 1 ? 0 : (int) Math.max(0, Math.round(peak - c.openPeak));
+            c.meterPart = 1.0 / c.spread;
+            c.meterAt = now;
+            return;
+        }
         double total = (usedPct - 1) / 100.0 * c.plan.rate();
         double part = total > 0 ? Math.min(1, c.useRate / total) : 1.0 / c.spread;
         boolean rises = total < c.plan.rate() && c.demand > part * c.plan.rate();
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -118,6 +118,7 @@
         double meterOthers; // what the other gateways used a second, as the meter last told
         double useRate;
         int open;
+        double openPeak; // most open here at once of late; fades
 
         Customer(long id, int planNumber, Plan plan, int first, int spread, int[] keepers, double now) {
             this.id = id;
--- /dev/null
+++ b/src/test/java/deckfall/MeterTest.java
@@ -0,0 +1,52 @@
+package deckfall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import deckfall.Gateway.Outcome;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What one gateway of many makes of the meter's word on a customer. */
+class MeterTest {
+    private static final int GATEWAYS = 20;
+    private static final long CUSTOMER = 42;
+
+    private final FakeGateway g = new FakeGateway(1000, FakeGateway.metered(3, GATEWAYS, 7)).withHosts("a1", "a2");
+
+    private void ask(String id, String plan, double units) {
+        g.ask(id, "read", plan, CUSTOMER, units, GATEWAYS);
+    }
+
+    /** The meter's figure as an answer carries it. */
+    private void answered(String id, int percentUsed) {
+        g.pass(50);
+        g.end(id, 0, Outcome.OK, 50, 1 + percentUsed);
+    }
+
+    @Test
+    void whereTheMeterShowsALimitOfOpenAttemptsUsedUpByOthersNoFurtherOneIsLetIn() {
+        ask("first", "open", 1);
+        answered("first", 150); // three were out at once, two of them others'; the limit is two
+        ask("second", "open", 1);
+        assertEquals(List.of("second"), g.refused);
+    }
+
+    @Test
+    void whatOthersHadOutIsForgottenAfterAWhile() {
+        ask("first", "open", 1);
+        answered("first", 150);
+        g.pass(5100);
+        ask("second", "open", 1);
+        assertEquals(List.of(), g.refused);
+    }
+
+    @Test
+    void aLimitOfOpenAttemptsThatNoOtherUsesIsUsedWhole() {
+        ask("first", "open", 1);
+        answered("first", 50); // one was out: its own
+        ask("second", "open", 1);
+        ask("third", "open", 1);
+        ask("fourth", "open", 1);
+        assertEquals(List.of("fourth"), g.refused);
+    }
+}
--- /dev/null
+++ b/src/test/java/deckfall/OverQuotaTest.java
@@ -0,0 +1,64 @@
+package deckfall;
+
+import static org.junit.jupiter.api.Assertions.assertAll;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.Gateway.Plan;
+import deckfall.QuotaWorld.Habits;
+import deckfall.QuotaWorld.Policy;
+import deckfall.QuotaWorld.Result;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * On a quiet day the quotas hold over fleets of 20 and 95 gateways that know of each other by the meter alone: what
+ * is let in beyond them costs hardly more than under a policy that sees the true state late.
+ */
+class OverQuotaTest {
+    private static final double RUN_MS = 25_000;
+    private static final double ANSWER_MS = 230;
+    private static final double PRICE_MORE = 0.05; // of the worth inside: half of what is allowed
+    private static final double SERVED_LESS = 0.05; // of it: half of what is allowed
+    private static final double WITH_ROOM_MORE = 0.05; // of the tries
+
+    private static Plan plan(String name, double rate, double burst, int openLimit, double price, double overCost) {
+        return new Plan(name, rate, burst, openLimit, price, 0, overCost, 0, 0, 0);
+    }
+
+    private static int[] customers(int gateways, int... of95) {
+        return Arrays.stream(of95).map(c -> c * gateways / 95).toArray();
+    }
+
+    private static void holds(int gateways, long seed, List<Plan> plans, int[] customers, Habits habits,
+            double maxUnits) {
+        List<QuotaWorld.Try> tries = QuotaWorld.tries(gateways, plans, customers, habits, ANSWER_MS, RUN_MS, seed);
+        QuotaWorld world = new QuotaWorld(gateways, tries, ANSWER_MS);
+        Policy modules = world.fleet(plans, maxUnits, seed);
+        Result late = world.play(world.seenLate(), seed);
+        Result fleet = world.play(modules, seed);
+        String told = fleet + ", seen late " + late;
+        assertAll(() -> assertTrue(fleet.price() <= late.price() + PRICE_MORE, told),
+                () -> assertTrue(fleet.served() >= late.served() - SERVED_LESS, told),
+                () -> assertTrue(fleet.withRoom() <= late.withRoom() + WITH_ROOM_MORE, told));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"20, 1", "20, 2", "20, 3", "95, 1", "95, 2", "95, 3"})
+    void whereRequestsTakeOneUnit(int gateways, long seed) {
+        List<Plan> plans = List.of(plan("low", 0.8, 3.2, 0, 0.8, 1.2), plan("middle", 2.7, 10, 0, 1.1, 0.5),
+                plan("high", 11, 22, 0, 1.4, 0.8));
+        holds(gateways, seed, plans, customers(gateways, 200, 120, 40), new Habits(0.09, 3, 0.2, 5, 2800, r -> 1), 1);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"20, 1", "20, 2", "20, 3", "95, 1", "95, 2", "95, 3"})
+    void whereRequestsDifferAndAPlanLimitsThoseOpenAtOnce(int gateways, long seed) {
+        List<Plan> plans = List.of(plan("low", 1.6, 8, 0, 0.88, 1.2), plan("open", 0, 0, 2, 1.3, 1.2),
+                plan("high", 30, 60, 0, 1.8, 1.2));
+        Habits habits = new Habits(0.1, 3.8, 0.2, 4.6, 3000,
+                r -> Math.min(4, Math.max(1, Math.ceil(-2 * Math.log(1 - r.nextDouble())))));
+        holds(gateways, seed, plans, customers(gateways, 360, 105, 42), habits, 4);
+    }
+}
--- /dev/null
+++ b/src/test/java/deckfall/QuotaWorld.java
@@ -0,0 +1,251 @@
+package deckfall;
+
+import deckfall.Gateway.*;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
+
+/**
+ * Customers of a fleet, the true state of their quotas, and a meter that tells of it late. Who lets in is played
+ * against it: the real modules, or one that sees the true state late.
+ */
+final class QuotaWorld {
+    static final double PERIOD_MS = 1000; // of the meter
+    static final double LATE_MS = 800; // from a period's end to its figure; also how late the other policy sees
+    private static final int HOSTS_PER_GATEWAY = 4; // enough that only quotas decide
+    private static final double COMES_AGAIN = 0.8; // share of the refused that try once more
+    private static final double BACKOFF_MS = 50; // before the first further try; doubles
+
+    /** One try: {@code spread} gateways from {@code first} on may get it, and this gateway did. */
+    record Try(double at, int gateway, long customer, Plan plan, double units, int first, int spread, int further) {
+        double worth() {
+            return plan.price() * units;
+        }
+    }
+
+    /** Decides on a try when it comes, and is told of the end of those let in, with the meter's word. */
+    interface Policy {
+        boolean admits(Try t);
+
+        default void ended(Try t, double at, int usedPct) { }
+    }
+
+    /** What all gateways together have let in of one customer: the state that counts, and how it stood before. */
+    private static final class TrueUse {
+        private final Plan plan;
+        private final TreeMap<Double, Double> levels = new TreeMap<>();
+        private final TreeMap<Double, Integer> outs = new TreeMap<>();
+        private final TreeMap<Double, Double> units = new TreeMap<>();
+
+        TrueUse(Plan plan) {
+            this.plan = plan;
+            levels.put(0.0, plan.burst());
+            outs.put(0.0, 0);
+        }
+
+        double level(double at) {
+            Map.Entry<Double, Double> last = levels.floorEntry(Math.max(0, at));
+            return Math.min(plan.burst(), last.getValue() + plan.rate() * (Math.max(0, at) - last.getKey()) / 1000);
+        }
+
+        int out(double at) {
+            return outs.floorEntry(Math.max(0, at)).getValue();
+        }
+
+        boolean holds(double at, double wanted) {
+            return (plan.rate() <= 0 || level(at) >= wanted) && (plan.openLimit() <= 0 || out(at) < plan.openLimit());
+        }
+
+        /** As the bench counts it: at least half of the quota is unused. */
+        boolean halfUnused(double at, double wanted) {
+            return (plan.rate() <= 0 || level(at) >= Math.max(wanted, plan.burst() / 2))
+                    && (plan.openLimit() <= 0 || out(at) <= plan.openLimit() / 2);
+        }
+
+        /** Whether it was inside the quota; what is beyond takes nothing. */
+        boolean take(double at, double wanted) {
+            boolean inside = holds(at, wanted);
+            if (plan.rate() > 0) levels.put(at, level(at) - (inside ? wanted : 0));
+            units.merge(at, wanted, Double::sum);
+            outs.put(at, out(at) + 1);
+            return inside;
+        }
+
+        void ended(double at) {
+            outs.put(at, out(at) - 1);
+        }
+
+        /** What the meter tells: 1 + use in the last finished period whose figure has come, in percent of the quota. */
+        int metered(double now) {
+            double end = Math.floor((now - LATE_MS) / PERIOD_MS) * PERIOD_MS;
+            double begin = end - PERIOD_MS;
+            if (end <= 0) return 1;
+            if (plan.rate() > 0) {
+                double used = units.subMap(begin, end).values().stream().mapToDouble(u -> u).sum();
+                return 1 + (int) (100 * used * 1000 / PERIOD_MS / plan.rate());
+            }
+            int peak = outs.subMap(begin, end).values().stream().mapToInt(o -> o).max().orElse(0);
+            return 1 + 100 * Math.max(peak, out(begin)) / plan.openLimit();
+        }
+    }
+
+    /** Shares of the worth that one who sees all first tries would let in. */
+    record Result(double served, double price, double withRoom) {
+        double net() {
+            return served - price;
+        }
+    }
+
+    private final int gateways;
+    private final List<Try> tries;
+    private final double answerMs;
+    private final Map<Long, TrueUse> uses = new HashMap<>();
+
+    /** {@code answerMs}: how long an attempt is out. */
+    QuotaWorld(int gateways, List<Try> tries, double answerMs) {
+        this.gateways = gateways;
+        this.tries = tries;
+        this.answerMs = answerMs;
+    }
+
+    private TrueUse use(Try t) {
+        return uses.computeIfAbsent(t.customer(), c -> new TrueUse(t.plan()));
+    }
+
+    private record End(double at, Try of) { }
+
+    private double worthInside() {
+        QuotaWorld all = new QuotaWorld(gateways, tries, answerMs);
+        PriorityQueue<End> ends = new PriorityQueue<>(Comparator.comparingDouble(End::at));
+        double worth = 0;
+        for (Try t : tries) {
+            for (; !ends.isEmpty() && ends.peek().at() <= t.at(); ends.poll()) all.use(ends.peek().of()).ended(ends.peek().at());
+            if (!all.use(t).holds(t.at(), t.units())) continue;
+            all.use(t).take(t.at(), t.units());
+            ends.add(new End(t.at() + answerMs, t));
+            worth += t.worth();
+        }
+        return worth;
+    }
+
+    /** Plays all tries, and the further ones of those that are refused. */
+    Result play(Policy policy, long seed) {
+        uses.clear();
+        Random random = new Random(seed);
+        PriorityQueue<Try> coming = new PriorityQueue<>(Comparator.comparingDouble(Try::at));
+        coming.addAll(tries);
+        PriorityQueue<End> ends = new PriorityQueue<>(Comparator.comparingDouble(End::at));
+        double served = 0;
+        double cost = 0;
+        int made = 0;
+        int withRoom = 0;
+        while (!coming.isEmpty()) {
+            Try t = coming.poll();
+            for (; !ends.isEmpty() && ends.peek().at() <= t.at(); ends.poll()) {
+                End e = ends.peek();
+                use(e.of()).ended(e.at());
+                policy.ended(e.of(), e.at(), use(e.of()).metered(e.at()));
+            }
+            made++;
+            boolean room = use(t).halfUnused(t.at(), t.units());
+            if (policy.admits(t)) {
+                if (use(t).take(t.at(), t.units())) served += t.worth();
+                else cost += t.worth() * t.plan().overCost();
+                ends.add(new End(t.at() + answerMs, t));
+                continue;
+            }
+            withRoom += room ? 1 : 0;
+            if (t.further() == 0 || random.nextDouble() > COMES_AGAIN) continue;
+            int other = (t.first() + random.nextInt(t.spread())) % gateways;
+            double wait = BACKOFF_MS * Math.pow(2, 2 - t.further()) * (0.5 + random.nextDouble());
+            coming.add(new Try(t.at() + wait, other, t.customer(), t.plan(), t.units(), t.first(), t.spread(),
+                    t.further() - 1));
+        }
+        double worth = worthInside();
+        return new Result(served / worth, cost / worth, (double) withRoom / made);
+    }
+
+    Policy seenLate() {
+        return t -> use(t).holds(t.at() - LATE_MS, t.units());
+    }
+
+    /** The real modules, one a gateway, before hosts that have room for all. */
+    Policy fleet(List<Plan> plans, double maxUnits, long seed) {
+        Settings s = FakeGateway.metered(0, gateways, seed);
+        List<FakeGateway> fleet = new ArrayList<>();
+        String[] hosts = IntStream.range(0, HOSTS_PER_GATEWAY * gateways).mapToObj(h -> "a" + h).toArray(String[]::new);
+        for (int i = 0; i < gateways; i++) {
+            Settings own = new Settings(seed + i, i, gateways, "a", false, s.classes(), plans, s.reportNames(),
+                    s.limits(), s.rules(), new Sharing(false, 0, PERIOD_MS, false, maxUnits, 0, 0, 0, 0));
+            fleet.add(new FakeGateway(0, own).withHosts(hosts));
+        }
+        return new Policy() {
+            private final Map<Try, String> ids = new HashMap<>();
+
+            @Override
+            public boolean admits(Try t) {
+                FakeGateway g = fleet.get(t.gateway());
+                g.runTo(t.at());
+                String id = "t" + ids.size() + "-" + t.at();
+                g.brain.request(t.at(), new Request(id, t.at() + 3000, t.at(), false, "read", t.customer(),
+                        t.plan().name(), t.units(), t.first(), t.spread()));
+                boolean in = g.sends(id) > 0;
+                if (in) ids.put(t, id);
+                return in;
+            }
+
+            @Override
+            public void ended(Try t, double at, int usedPct) {
+                FakeGateway g = fleet.get(t.gateway());
+                g.runTo(at);
+                g.end(ids.get(t), 0, Outcome.OK, answerMs, usedPct);
+            }
+        };
+    }
+
+    /** How the customers of a deployment behave. */
+    record Habits(double heavyShare, double heavyTimes, double spikyShare, double spikeTimes, double spikeMs,
+            ToDoubleFunction<Random> units) { }
+
+    /**
+     * Most customers use a part of their quota, some nearly all, some ask far more for seconds or all the time;
+     * each comes in mostly by some gateways of its set.
+     */
+    static List<Try> tries(int gateways, List<Plan> plans, int[] customers, Habits habits, double answerMs,
+            double runMs, long seed) {
+        Random r = new Random(seed);
+        List<Try> all = new ArrayList<>();
+        long customer = 0;
+        for (int p = 0; p < customers.length; p++) {
+            Plan plan = plans.get(p);
+            double quota = plan.rate() > 0 ? plan.rate() : plan.openLimit() * 1000 / answerMs / 2.5;
+            for (int i = 0; i < customers[p]; i++) {
+                customer++;
+                double kind = r.nextDouble();
+                boolean heavy = kind < habits.heavyShare();
+                boolean spiky = !heavy && kind < habits.heavyShare() + habits.spikyShare();
+                double use = heavy ? habits.heavyTimes() : kind > 0.85 ? 0.9 : 0.15 + 0.3 * r.nextDouble();
+                int spread = Math.max(2, (int) (gateways * (0.5 + 0.5 * r.nextDouble())));
+                int first = r.nextInt(gateways);
+                double spikeAt = r.nextDouble() * runMs;
+                for (double at = 1; at < runMs;) {
+                    boolean spike = spiky && at >= spikeAt && at < spikeAt + habits.spikeMs();
+                    double units = habits.units().applyAsDouble(r);
+                    int gateway = (first + (int) (spread * Math.pow(r.nextDouble(), 2))) % gateways;
+                    all.add(new Try(at, gateway, customer, plan, units, first, spread, 2));
+                    double perSecond = (spike ? habits.spikeTimes() : use) * quota / (plan.rate() > 0 ? units : 1);
+                    at += -Math.log(1 - r.nextDouble()) * 1000 / perSecond;
+                }
+            }
+        }
+        all.sort(Comparator.comparingDouble(Try::at));
+        return all;
+    }
+}
