Start the own part of a burst without room for a whole request where a meter tells

Requests take up to four units, the burst is eight, and up to 48 gateways may get a customer.

Cause: bucket() gives each gateway's own part room for the largest request, or it could let in none, and customer() began with that bucket full: four units at each of 48 gateways, 24 times the burst.

Change: where a meter tells, the bucket keeps its size, but begins with the part of the burst; a first request is let in by the whole store.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -379,7 +379,8 @@
             int[] keepers = State.ranked(id, first, wide, peers.length, KEEPERS);
             c = new Customer(id, plan, p, first, wide, keepers, now);
             c.level = c.store = p.burst();
-            c.tokens = bucket(p, 1.0 / c.spread); // as full as it ever is
+            // As full as it ever is; by the meter no more than its part, or all first tries would be let in.
+            c.tokens = metered() ? p.burst() / c.spread : bucket(p, 1.0 / c.spread);
             // The ceiling's store starts with what has filled since this gateway started, never with a burst:
             // before a restart this gateway may have spent it (rule 5).
             double filled = (now - startedAt) / 1000 * p.ceilingRate() * ceilingShare(c);
--- a/src/test/java/deckfall/MeterTest.java
+++ b/src/test/java/deckfall/MeterTest.java
@@ -49,4 +49,12 @@
         ask("fourth", "open", 1);
         assertEquals(List.of("fourth"), g.refused);
     }
+
+    @Test
+    void theOwnPartOfTheBurstIsNoWholeRequestAtEachOfManyGateways() {
+        ask("first", "small", 1);
+        answered("first", 1000);
+        ask("second", "small", 3);
+        assertEquals(List.of("second"), g.refused);
+    }
 }
