--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -27,7 +27,6 @@
     private static final double METER_LAG_MS = 1300; // a metered figure's age: half its period and the way
     private static final double METER_KEPT_MS = 20_000; // a metered figure this old tells nothing any more
     private static final double PEAK_KEPT_MS = 5000; // a metered peak of attempts out holds so long
-    private static final double BUSY = 1.5; // of the rate: metered use from which others empty the store
     private static final double SPARE = 2; // times its units in the store, where no word of others is fresh
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
     // Keepers and tells
@@ -485,11 +484,11 @@
     /**
      * Room in the whole store by the meter. Among many gateways each meets a customer seldom, and its part of
      * the bucket is less than a request: if all waited for fresh word, all would refuse one whose store is
-     * full. So what others use is held against it only while the last figure is fresh and shows a busy spell.
+     * full. So what others use is held against it only while the last figure is fresh and over the rate.
      */
     private static boolean meterAdmits(double now, Customer c, double units) {
         double age = now - c.meterAt;
-        if (age < FRESH_MS && c.meterTotal > BUSY * c.plan.rate()) {
+        if (age < FRESH_MS && c.meterTotal > c.plan.rate()) {
             return c.store - c.meterOthers * (age + METER_LAG_MS) / 1000 >= units;
         }
         return c.store >= Math.min(c.plan.burst(), SPARE * units);
--- a/src/test/java/deckfall/MeterTest.java
+++ b/src/test/java/deckfall/MeterTest.java
@@ -57,4 +57,13 @@
         ask("second", "small", 3);
         assertEquals(List.of("second"), g.refused);
     }
+
+    @Test
+    void othersEmptyTheStoreFromTheRateOn() {
+        ask("first", "small", 1);
+        answered("first", 130);
+        ask("second", "small", 4);
+        ask("more", "small", 3); // of seven left when told; others use what fills the store, and more
+        assertEquals(List.of("more"), g.refused);
+    }
 }
