Keep the sum that all gateways send to a cold host within rule 4

Seen: ColdFleetTest plays 2 to 100 modules, one in five of them with four times the others' traffic, before hosts that return or join cold. A cold host got up to 0.9 requests more in a window than N + 2 x root of N + 2 (100 gateways, 60 hosts with half of the warm ones gone: 0.8; 120 hosts: 0.9). Cause: two chances added up. `coldInTurn` drew each turn of a cold host anew, so the sum over gateways varied as chance does, where a cold host bears few; and `best` over drawn hosts let cold ones take part beside their turns (up to seven of the twelve requests in the worst windows). Ruled out: `best` over all usable hosts; it is hardly met while warm ones are left. Turning second attempts away from cold hosts changed little. Change: a cold host saves up its share of each turn and gets a request once it has one whole, from a random start; it takes part in `best` only where homes give none, and that uses up a turn. Without the change the test fails at 100 gateways before 60 and before 120 hosts; with either half of it alone, too, and without COLD_SAFETY; with almost no turns the lower bound fails at every size.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -158,6 +158,7 @@
             if (h.startedMs() > 0 && h.startedMs() > s.coldAt) {
                 s.coldAt = h.startedMs();
                 s.health.slow = 1;
+                s.turns = random.nextDouble(); // or all gateways' first ones would come together
             }
         }
         survey(now);
@@ -1032,29 +1033,40 @@
      */
     private Server pick(double now, Ask ask) {
         int draws = Math.min(homes.size(), DRAWS + 2 * inFlight);
-        Server best = best(now, ask, ownCounts() ? homes : drawn(now, ask.cls, draws), draws);
+        Server best = best(now, ask, ownCounts() ? homes : drawn(now, ask.cls, draws));
         Server cold = coldInTurn(now, ask);
         if (cold != null && (best == null || cold.out.isEmpty())) return cold;
-        return best != null ? best : best(now, ask, usable, usable.size());
+        if (best != null) return best;
+        best = best(now, ask, usable);
+        if (best != null) best.turns = Math.max(-1, best.turns - 1); // that was its turn
+        return best;
     }
 
     /**
      * A cold host whose turn it is by what it can do, or null where it is a warm one's. Its own counts tell a
      * gateway of many nothing of how full the warm hosts are: by score alone the cold ones would stay idle.
+     * A cold one saves up for each request instead of being drawn for it: the sum of many gateways' chances
+     * soon exceeds the few that it bears (rule 4).
      */
     private Server coldInTurn(double now, Ask ask) {
         double left = random.nextDouble() * homes.stream().mapToDouble(s -> able(now, s, ask.cls)).sum();
         for (Server s : homes) {
             left -= able(now, s, ask.cls);
             if (left > 0) continue;
-            double ramp = rampOf(s, now);
-            // The colder it is, the fewer requests its limit holds: chance exceeds it sooner (rule 4).
-            boolean taken = ramp < 1 && random.nextDouble() < COLD_SAFETY * set.rules().fallMultiple() * ramp;
-            return taken && legal(now, ask, ask.ran(), s) ? s : null;
+            if (rampOf(s, now) >= 1 || !legal(now, ask, ask.ran(), s)) return null;
+            s.turns += Math.min(1, coldShare(s, now));
+            if (s.turns < 1) return null;
+            s.turns -= 1;
+            return s;
         }
         return null;
     }
 
+    /** What may go to a host as a share of what a full one gets; over 1 where it is nearly warm (rule 4). */
+    private double coldShare(Server s, double now) {
+        return COLD_SAFETY * set.rules().fallMultiple() * rampOf(s, now);
+    }
+
     private double able(double now, Server s, ClassState c) {
         return s.open() ? lean(now, s) * rampOf(s, now) / Math.max(1, slowness(now, s, c)) : 0;
     }
@@ -1089,15 +1101,15 @@
         return drawn;
     }
 
-    private Server best(double now, Ask ask, Collection<Server> among, int draws) {
+    private Server best(double now, Ask ask, Collection<Server> among) {
         Server best = null;
         double bestScore = Double.MAX_VALUE;
         for (Server s : among) {
             if (!s.open() || !legal(now, ask, ask.ran(), s)) continue;
             // A cold host has its turns beside; where there is no other, it takes part seldom (rule 4).
-            double ramp = rampOf(s, now);
-            double share = COLD_SAFETY * set.rules().fallMultiple() * ramp;
-            if (ramp < 1 && (among == homes || random.nextDouble() * draws > share)) continue;
+            boolean cold = rampOf(s, now) < 1;
+            if (cold && among != usable) continue;
+            if (cold && random.nextDouble() * usable.size() > coldShare(s, now)) continue;
             double score = score(now, ask, s) * (1 + 1e-3 * random.nextDouble());
             if (score < bestScore) best = s;
             bestScore = Math.min(bestScore, score);
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -169,6 +169,7 @@
         final Health health = new Health();
         private final Map<String, Health> byClass = new TreeMap<>();
         double coldAt = NEVER;
+        double turns; // saved up while it is cold; one is worth a request
 
         Server(Host info) {
             this.info = info;
