Keep the hosts in a table whose costs follow a change and the homes, not the fleet

Change: HostTable, beside State, holds data and look-ups alone. Hosts stand in order-statistics lists (RankedHosts: blocks sorted by key and id), all of them, the open ones, and these by zone and cell. What they can do in all is their number less what cold and judged ones lack, and only those are counted anew on a beat; a change of fewer than one in 1,024 hosts leaves that to the next beat. Homes are a cached run of the order that a change outside it leaves as it is. Where no home may be used and there are over 1,024 hosts, 1,024 of them are compared from a drawn one on; for a key that may have run already, of its zone or cell. A host that nothing was sent to holds no sets. Where all homes are warm, no cold one's turn is reckoned; the draw is made all the same.

Up to 100 gateways take the same homes as before, but for hosts of equal hashes, which now stand by id instead of by when each gateway heard of them first. Of more gateways each takes the hosts of an arc of a ring of well mixed hashes, as wide as six gateways' parts: each host has six gateways, and one that joins is a home more for these alone. Where that would be fewer than 64 homes, hosts are parted evenly by count, and a change moves one home of a gateway at most.

Not here: a whole list is still taken in one go.

Tests: HostTableTest plays the old walk beside the module with 1 to 100 gateways (same open hosts, homes in order, capacity within 1e-9), counts moved homes with 240 gateways, hosts touched by a change at 10,000 and 160,000, and in an idle second. HostCostsTest holds allocated bytes at 160,000 hosts from outside the module. RankedHostsTest compares with a sorted set.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -88,6 +88,9 @@
     private static final double COLD_SAFETY = 0.7; // of a cold host's allowance: bursts fit in the rest
     private static final int HOMES = 8; // hosts a gateway keeps to, while they serve; more
     private static final int HOST_GATEWAYS = 6; // where a host would have fewer gateways than this
+    private static final int STEADY = 100; // gateways: of more, homes stay where other hosts come and go
+    private static final int ARC = 64; // hosts from which an arc of a ring holds nearly as many as any other
+    private static final int COMPARED = 1024; // hosts compared at most where no home may be used
     private static final int DRAWS = 2; // hosts compared at least; more where own counts can tell them apart
     private static final double SURVEY_MS = 500; // how often the hosts are counted
     private static final double RETRY_SHARE = 0.2; // further attempts earned by each first one
@@ -100,13 +103,13 @@
     private final Map<String, ClassState> classes = new LinkedHashMap<>();
     private final Map<String, Integer> planNumbers = new LinkedHashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
-    private final Map<String, Server> servers = new LinkedHashMap<>();
     private final Map<String, Ask> asks = new LinkedHashMap<>();
     private final ArrayDeque<Peer> outbox = new ArrayDeque<>();
     private final LinkedHashSet<Ask> questions = new LinkedHashSet<>();
     private final LinkedHashSet<Server> watched = new LinkedHashSet<>();
-    private final List<Server> usable = new ArrayList<>();
-    private final List<Server> homes = new ArrayList<>();
+    HostTable table;
+    List<Server> homes = List.of();
+    private Server coldest; // of the homes: the one that started last
     private Peer[] peers = new Peer[0];
     private Settings set;
     private Random random;
@@ -116,7 +119,8 @@
     private boolean waited;
     private int inFlight, answers, timeOuts;
     private double perHost = BOUND_START;
-    private double capacity, turn;
+    double capacity;
+    private double lost, turn; // lost: what cold and bad hosts can't do of it, as last counted
     private double crowd; // requests that a warm host holds on the mean of all reports
     private double retryTokens = RETRY_MAX / 2;
     private double latencySum, baseSum, aimShareSum;
@@ -134,6 +138,7 @@
         epoch = (int) (long) now;
         peers = new Peer[Math.max(1, settings.gateways())];
         Arrays.setAll(peers, Peer::new);
+        table = new HostTable(peers.length > STEADY);
         double worth = settings.classes().stream().mapToDouble(c -> Math.max(WEIGHT_MIN, c.worth())).sum();
         for (RequestClass c : settings.classes()) {
             ClassState state = new ClassState(c);
@@ -150,18 +155,21 @@
     @Override public void hosts(double now, ListKind kind, List<Host> hosts) {
         if (kind == ListKind.FAILED) act.timer(RELAX_MS, "watch");
         if (kind == ListKind.FAILED) return;
-        if (kind != ListKind.CHANGES) servers.values().forEach(s -> s.listed = false);
+        if (kind != ListKind.CHANGES) table.beginList();
         for (Host h : hosts) {
-            Server s = servers.computeIfAbsent(h.id(), id -> new Server(h));
-            s.info = h;
-            s.listed = h.state() != HostState.GONE;
+            Server s = table.put(h);
             if (h.startedMs() > 0 && h.startedMs() > s.coldAt) {
                 s.coldAt = h.startedMs();
-                s.health.slow = 1;
                 s.turns = random.nextDouble(); // or all gateways' first ones would come together
+                if (s.judged() != null) s.judged().slow = 1;
+                if (rampOf(s, now) < 1) table.unsettled().add(s);
+                if (coldest == null || s.coldAt > coldest.coldAt) coldest = s; // till counted
             }
         }
-        survey(now);
+        if (kind != ListKind.CHANGES) table.endList();
+        // Of many hosts a few cold ones more or less may wait for the next beat.
+        if (kind == ListKind.CHANGES && hosts.size() < table.openCount() / COMPARED) keepHomes(now);
+        else survey(now);
         release(now);
     }
 
@@ -287,10 +295,9 @@
 
     /** Avoided is what the list says not to use, and what has done so badly that others come before it. */
     @Override public Cluster cluster(double now) {
-        List<Server> listed = servers.values().stream().filter(s -> s.listed).toList();
-        long avoided = listed.stream().filter(s -> !s.open()
-                || classes.values().stream().anyMatch(c -> slowness(now, s, c) >= BAD_ANSWER)).count();
-        return new Cluster(listed.size(), (int) avoided);
+        long bad = table.unsettled().stream().filter(s -> s.open()
+                && classes.values().stream().anyMatch(c -> slowness(now, s, c) >= BAD_ANSWER)).count();
+        return new Cluster(table.listed(), table.drained() + (int) bad);
     }
 
     // ---- from one process to the next
@@ -305,7 +312,7 @@
                     c.demand, c.used, c.useRate, c.meterPart, c.meterAt, c.meterOthers));
         }
         List<HealthBook> health = new ArrayList<>();
-        servers.values().stream().filter(s -> s.listed).forEach(s -> s.writeHealth(health));
+        table.unsettled().stream().filter(s -> s.listed).forEach(s -> s.writeHealth(health));
         List<ClassBook> delays = classes.values().stream().map(c -> new ClassBook(c.spec.name(), c.weight,
                 c.latencyPerUnit, c.base, c.samples, c.delay, c.slope)).toList();
         return new Books(now, perHost, books, health, delays);
@@ -317,12 +324,13 @@
         if (!asks.isEmpty() || classes.values().stream().anyMatch(c -> c.samples > 0)) return;
         perHost = Math.max(BOUND_MIN, Math.min(BOUND_MAX, books.perHost()));
         for (HealthBook b : books.health()) {
-            Server s = servers.get(b.host());
+            Server s = table.find(b.host());
             if (s == null || !b.requestClass().isEmpty() && !classes.containsKey(b.requestClass())) continue;
             Health h = s.of(b.requestClass());
             h.slow = Math.max(0, Math.min(SLOW_MAX, b.slow()));
             h.at = Math.min(now, b.at());
             h.failures = b.failures();
+            table.unsettled().add(s);
         }
         List<String> named = books.classes().stream().map(ClassBook::name).toList();
         if (!named.equals(List.copyOf(classes.keySet()))) return; // weights hold for all or for none
@@ -814,6 +822,7 @@
             if (ask.customer != null) ask.customer.unsent -= ask.request.units();
         }
         ask.attempts.add(a);
+        table.unsettled().add(s);
         if (!ask.arriving) place(now, a);
         act.send(ask.request.id(), s.info.id(), 0);
     }
@@ -824,7 +833,7 @@
         a.placed = true;
         a.sentAt = now;
         a.stalled = stalled;
-        a.server.out.add(a);
+        a.server.hold(a);
         a.server.outWork += a.work;
         watched.add(a.server);
         inFlight++;
@@ -834,7 +843,7 @@
         if (!a.placed) return;
         a.placed = false;
         inFlight--;
-        a.server.out.remove(a);
+        a.server.letGo(a);
         a.server.outWork = a.server.out.isEmpty() ? 0 : a.server.outWork - a.work;
         if (a.server.out.isEmpty()) watched.remove(a.server);
     }
@@ -981,12 +990,12 @@
     // ---- hosts
 
     private static double slowness(double now, Health h) {
-        return 1 + (h.slow - 1) * Math.exp(-(now - h.at) / SLOW_FADE_MS);
+        return h == null || h.slow == 1 ? 1 : 1 + (h.slow - 1) * Math.exp(-(now - h.at) / SLOW_FADE_MS);
     }
 
     /** Failures tell of a class on a host, which may serve the others as before; slow answers of the host. */
     private static double slowness(double now, Server s, ClassState c) {
-        return slowness(now, s.health) * slowness(now, s.of(c));
+        return slowness(now, s.judged()) * slowness(now, s.judged(c));
     }
 
     private static void judge(Health h, double ratio, double gain, double now) {
@@ -1006,24 +1015,31 @@
         return done >= 1 ? 1 : Math.max(0.01, from + (1 - from) * Math.max(0, done));
     }
 
-    /** Counts the hosts in use, so that each event needs only look-ups. */
+    /** Counts what the hosts in use can do, so that each event needs only look-ups. */
     private void survey(double now) {
         surveyedAt = now;
-        usable.clear();
-        capacity = 0;
-        for (Server s : servers.values()) {
-            if (!s.open()) continue;
-            usable.add(s);
-            capacity += slowness(now, s.health) < BAD_ANSWER ? rampOf(s, now) : 0;
-        }
-        // Each gateway keeps to some hosts, in turn with the others: more answers and warm connections at
-        // each, and tables that do not fill where there are hundreds of gateways.
-        usable.sort(Comparator.comparing(s -> s.info.id().hashCode()));
-        homes.clear();
-        int kept = Math.max(HOMES, HOST_GATEWAYS * usable.size() / peers.length);
-        for (int i = 0; i < Math.min(kept, usable.size()); i++) {
-            homes.add(usable.get((int) (((long) set.me() * kept + i) % usable.size())));
-        }
+        table.unsettled().removeIf(s -> s.untried() && rampOf(s, now) >= 1);
+        lost = table.unsettled().stream().filter(Server::open)
+                .mapToDouble(s -> slowness(now, s.judged()) < BAD_ANSWER ? 1 - rampOf(s, now) : 1).sum();
+        keepHomes(now);
+    }
+
+    /**
+     * Each gateway keeps to some hosts, in turn with the others: more answers and warm connections at each,
+     * and tables that do not fill where there are hundreds of gateways. Of many each has an arc of a ring: a
+     * host that comes is a home more for those whose arcs it lies in. Few hosts would lie there unevenly.
+     */
+    private void keepHomes(double now) {
+        int size = table.openCount();
+        int kept = Math.max(HOMES, HOST_GATEWAYS * size / peers.length);
+        boolean steady = peers.length > STEADY;
+        long me = set.me();
+        long first = steady ? me * size / peers.length : me * kept % Math.max(1, size);
+        List<Server> run = steady && kept >= ARC ? table.arc(set.me(), HOST_GATEWAYS, peers.length, HOMES)
+                : table.run((int) first, Math.min(kept, size));
+        if (run != homes || surveyedAt == now) coldest = HostTable.lastStarted(run);
+        homes = run;
+        capacity = size - lost;
     }
 
     /**
@@ -1033,15 +1049,27 @@
      */
     private Server pick(double now, Ask ask) {
         int draws = Math.min(homes.size(), DRAWS + 2 * inFlight);
-        Server best = best(now, ask, ownCounts() ? homes : drawn(now, ask.cls, draws));
-        Server cold = coldInTurn(now, ask);
+        Server best = best(now, ask, ownCounts() ? homes : drawn(now, ask.cls, draws), false);
+        boolean warm = coldest == null || rampOf(coldest, now) >= 1;
+        if (warm) random.nextDouble(); // the draw that no cold host would win
+        Server cold = warm ? null : coldInTurn(now, ask);
         if (cold != null && (best == null || cold.out.isEmpty())) return cold;
         if (best != null) return best;
-        best = best(now, ask, usable);
+        best = best(now, ask, others(ask), true);
         if (best != null) best.turns = Math.max(-1, best.turns - 1); // that was its turn
         return best;
     }
 
+    /** All hosts; of very many some from a drawn one on, among those that an unsure attempt's key allows. */
+    private List<Server> others(Ask ask) {
+        boolean keyed = table.openCount() > COMPARED && ask.cls.spec.effect() == Effect.KEYED;
+        Host ran = keyed && ask.ran() != null ? ask.ran().server.info : null;
+        Collection<RankedHosts> legal = table.open(ran, ran == null ? Scope.ALL : ask.cls.spec.scope());
+        int count = legal.stream().mapToInt(RankedHosts::size).sum();
+        int from = count > COMPARED ? random.nextInt(count) : 0;
+        return HostTable.round(legal, from, Math.min(COMPARED, count));
+    }
+
     /**
      * A cold host whose turn it is by what it can do, or null where it is a warm one's. Its own counts tell a
      * gateway of many nothing of how full the warm hosts are: by score alone the cold ones would stay idle.
@@ -1101,15 +1129,14 @@
         return drawn;
     }
 
-    private Server best(double now, Ask ask, Collection<Server> among) {
+    private Server best(double now, Ask ask, Collection<Server> among, boolean colds) {
         Server best = null;
         double bestScore = Double.MAX_VALUE;
         for (Server s : among) {
             if (!s.open() || !legal(now, ask, ask.ran(), s)) continue;
             // A cold host has its turns beside; where there is no other, it takes part seldom (rule 4).
             boolean cold = rampOf(s, now) < 1;
-            if (cold && among != usable) continue;
-            if (cold && random.nextDouble() * usable.size() > coldShare(s, now)) continue;
+            if (cold && (!colds || random.nextDouble() * among.size() > coldShare(s, now))) continue;
             double score = score(now, ask, s) * (1 + 1e-3 * random.nextDouble());
             if (score < bestScore) best = s;
             bestScore = Math.min(bestScore, score);
@@ -1153,9 +1180,9 @@
         ClassState c = ask.cls;
         switch (r.outcome()) {
             case OK -> {
-                judge(s.health, r.latencyMs() / Math.max(1, a.work), SLOW_GAIN, now);
+                judge(s.health(), r.latencyMs() / Math.max(1, a.work), SLOW_GAIN, now);
                 judge(s.of(c), 1, SLOW_GAIN, now);
-                s.health.failures = 0;
+                s.health().failures = 0;
                 // A host that fails most requests at once serves some: one good answer clears it of nothing.
                 if (slowness(now, s.of(c)) < CLEARED) s.of(c).failures = 0;
                 double perUnit = r.latencyMs() / Math.max(0.1, ask.request.units());
@@ -1167,13 +1194,13 @@
                 }
             }
             // No connection, and again none: down or full, the host takes nothing from us now.
-            case CONNECT_FAILED -> failed(s.health, 1, now);
-            case FULL -> judge(s.health, BAD_ANSWER, FAILED_GAIN, now);
+            case CONNECT_FAILED -> failed(s.health(), 1, now);
+            case FULL -> judge(s.health(), BAD_ANSWER, FAILED_GAIN, now);
             case ERROR, RESET, TIMEOUT -> {
                 failed(s.of(c), FAILED_GAIN, now);
                 // Among many gateways each meets a host too seldom to convict it class by class.
                 boolean several = classes.values().stream().filter(k -> s.of(k).failures > 0).count() > 1;
-                if (several) judge(s.health, SLOW_MAX, FAILED_GAIN, now);
+                if (several) judge(s.health(), SLOW_MAX, FAILED_GAIN, now);
             }
             default -> { }
         }
@@ -1191,7 +1218,7 @@
     private void watchHealth(double now) {
         for (Server s : new ArrayList<>(watched)) {
             for (Attempt a : new ArrayList<>(s.out)) {
-                double expected = a.work * Math.max(1, slowness(now, s.health));
+                double expected = a.work * Math.max(1, slowness(now, s.judged()));
                 double waited = now - a.sentAt - (stalled - a.stalled);
                 if (a.overdue || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
                 a.overdue = true;
@@ -1215,6 +1242,6 @@
         sweptAt = now;
         customers.values().removeIf(c -> now - c.touchedAt > forgetMs(c.plan)
                 && c.open == 0 && c.pending.isEmpty());
-        servers.values().removeIf(s -> !s.listed && s.out.isEmpty());
+        table.forgetUnlisted();
     }
 }
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 
@@ -158,16 +159,17 @@
         int failures; // since the last good answer
     }
 
-    /** A host as this gateway sees it. */
+    /** A host as this gateway sees it; of one that it has sent nothing to it holds little but the list's word. */
     static final class Server {
-        final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
+        Set<Attempt> out = Set.of(); // changed by hold and let go alone
         Host info;
-        boolean listed = true;
+        boolean listed;
+        boolean counted; // stands among the open ones of the table
         double outWork;
         double reported; // requests that it held, of all gateways, as it last told
         double reportedAt = NEVER;
-        final Health health = new Health();
-        private final Map<String, Health> byClass = new TreeMap<>();
+        private Health health;
+        private Map<String, Health> byClass = Map.of();
         double coldAt = NEVER;
         double turns; // saved up while it is cold; one is worth a request
 
@@ -175,17 +177,48 @@
             this.info = info;
         }
 
+        void hold(Attempt a) {
+            if (out.isEmpty()) out = new LinkedHashSet<>(4);
+            out.add(a);
+        }
+
+        void letGo(Attempt a) {
+            if (!out.isEmpty()) out.remove(a);
+        }
+
+        Health health() {
+            if (health == null) health = new Health();
+            return health;
+        }
+
         Health of(ClassState c) {
             return of(c.spec.name());
         }
 
         /** For one class, or where its name is empty for all. */
         Health of(String requestClass) {
-            return requestClass.isEmpty() ? health : byClass.computeIfAbsent(requestClass, n -> new Health());
+            if (requestClass.isEmpty()) return health();
+            if (byClass.isEmpty()) byClass = new TreeMap<>();
+            return byClass.computeIfAbsent(requestClass, n -> new Health());
+        }
+
+        /** As last judged for all classes, or null. */
+        Health judged() {
+            return health;
+        }
+
+        /** As last judged for one class, or null. */
+        Health judged(ClassState c) {
+            return byClass.isEmpty() ? null : byClass.get(c.spec.name());
+        }
+
+        /** True where its host was sent nothing that tells of it. */
+        boolean untried() {
+            return health == null && byClass.isEmpty() && out.isEmpty();
         }
 
         void writeHealth(List<HealthBook> to) {
-            to.add(new HealthBook(info.id(), "", health.slow, health.at, health.failures));
+            if (health != null) to.add(new HealthBook(info.id(), "", health.slow, health.at, health.failures));
             byClass.forEach((c, h) -> to.add(new HealthBook(info.id(), c, h.slow, h.at, h.failures)));
         }
 
