--- a/src/main/java/deckfall/HostTable.java
+++ b/src/main/java/deckfall/HostTable.java
@@ -141,11 +141,12 @@
         return open.size();
     }
 
+    /** Hosts that a list holds and that may not be used. */
     int drained() {
         return listed - open.size();
     }
 
-    /** Hosts of which more is known than that they are open: kept by whom it concerns. */
+    /** Hosts of which more is known than what the list says, for the module to add to and take from. */
     Set<Server> unsettled() {
         return unsettled;
     }
