Hear discovery within 6 s whatever one refusal and one silence come before

Seen (from reading, then forced over loopback): a refusal's Retry-After was heeded for up to 3 s (Discovery.later), the call after a failure was a watch whose silence shows only after 3 + 1.5 s (open(false), call), and the call beside a silent watch, refused, rested for up to 3 s again: 5.9 s (pushed) and 6.4 s (asked for) to the call that could be answered, 4.4 s after SIGHUP where 4 are allowed. Ruled out: the connect alone (1 s) and the line alone (1.5 s) fit. With push, too, Retry-After was heeded beyond a drain's grace. A channel that could not be made for want of a descriptor told its failure on another thread.

Change: DiscoveryTimes holds the waits.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -32,7 +32,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -45,18 +44,6 @@
     private static final long NONE = -1;
     private static final String VERSION = "version";
     private static final String PATH = "/v1/servers";
-    // What a silent call would have told counts as told 6 s after its silence began, or 2 s after its wait, whichever
-    // is later. A call beside it is made after 4.5 s at the latest, and so may itself wait in discovery's line.
-    private static final long HOLD_MS = 3000;
-    private static final long DOUBT_MS = 1000; // beyond what a call may wait, where the agent answers at once;
-    private static final long LINE_MS = 1500; // where the call stands in discovery's line,
-    private static final int CONNECT_MS = 1000;
-    private static final long PATIENCE_MS = 2500; // and there, for a call of which an answer is due at once
-    private static final double PROMPT_SHARE = 0.4; // of a drain's grace: an agent nearby answers at once
-    private static final double AGAIN_MS = 50; // after a failure; a watch is broken only after 200
-    private static final double AGAIN_MAX_MS = 1000; // after many: a fleet that starts together asks together
-    private static final double AGAIN_SHARE = 0.3; // of a drain's grace, where what an agent nearby holds is told
-    private static final double TOLD_MAX_MS = 2000; // the longest wait that is heeded: its news count as told after 6 s
     private static final double MS_PER_SECOND = 1000;
     private static final int MAX_LIST = 4 << 20;
 
@@ -64,22 +51,20 @@
     record Entry(Host host, InetSocketAddress address) { }
 
     private final Node node;
-    private final boolean pushed; // to an agent on this machine: calls cost nothing, and all that it holds is told
-    private final double graceMs; // in which a drain that was told has to be heeded
+    private final DiscoveryTimes times;
     private InetSocketAddress agent;
     private Calls current; // what an earlier one still hears or fails is of no interest
     private Calls beside; // asked because the current one is silent, or null
-    private final Random random;
     private final Promise<Void> heard; // once there is a first answer
     private int failures; // since the last good answer
+    private boolean moved; // and none has come from the agent that is asked since
     private long version; // of the list that is held; NONE where the whole list is still to come
 
     Discovery(Node node) {
         this.node = node;
         this.agent = node.config.discovery();
-        this.pushed = !node.config.settings().subscribe();
-        this.graceMs = node.config.settings().rules().drainGraceMs();
-        this.random = new Random(node.config.settings().seed());
+        this.times = new DiscoveryTimes(!node.config.settings().subscribe(),
+                node.config.settings().rules().drainGraceMs(), node.config.settings().seed());
         this.heard = node.loop.newPromise();
         this.version = versionOf(node.config.known());
     }
@@ -111,8 +96,9 @@
         agent = to;
         version = NONE;
         failures = 0;
+        moved = true;
         beside = null;
-        current = open(false);
+        current = open(true);
         left.forEach(Calls::drop);
     }
 
@@ -121,7 +107,7 @@
         Calls calls = new Calls(prompt);
         ChannelFuture connecting = new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DiscoveryTimes.CONNECT_MS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
@@ -130,8 +116,8 @@
                 }).connect(agent);
         calls.channel = connecting.channel();
         connecting.addListener(f -> {
-            if (!f.isSuccess()) {
-                ended(calls);
+            if (!f.isSuccess()) { // where no descriptor was left it is told on another thread
+                node.loop.execute(() -> ended(calls));
             }
         });
         return calls;
@@ -140,15 +126,16 @@
     private void askBeside() {
         if (beside == null) {
             beside = open(true);
-            beside.expectWithin(pushed ? Math.max(AGAIN_MS, PROMPT_SHARE * graceMs) : PATIENCE_MS);
+            beside.expectWithin(times.besideMs());
         }
     }
 
     private void ended(Calls calls) {
+        calls.stopTimeout(); // else it would ask beside a rest
         if (calls == beside) {
             beside = null;
             Calls silent = current;
-            later(calls, () -> {
+            later(calls, true, () -> {
                 if (silent == current) {
                     askBeside();
                 }
@@ -157,18 +144,18 @@
             current = beside;
             beside = null;
         } else if (calls == current) {
-            later(calls, () -> {
+            later(calls, moved, () -> {
                 if (calls == current) {
-                    current = open(false);
+                    current = open(true); // a watch that is silent would show that only after its wait
                 }
             });
         }
     }
 
-    private void later(Calls failed, Runnable again) {
-        double most = pushed ? Math.max(AGAIN_MS, Math.min(AGAIN_MAX_MS, AGAIN_SHARE * graceMs)) : AGAIN_MAX_MS;
-        double wait = Math.max(failed.toldMs, Math.min(most, AGAIN_MS * Math.pow(2, failures++)));
-        node.loop.schedule(again, (long) (wait * (0.5 + random.nextDouble())), TimeUnit.MILLISECONDS);
+    /** {@code late}: the time in which news count as told has begun before the call that failed. */
+    private void later(Calls failed, boolean late, Runnable again) {
+        long pause = times.pauseMs(failed.toldMs, failures++, late);
+        node.loop.schedule(again, pause, TimeUnit.MILLISECONDS);
     }
 
     /** What was answered first is followed from now on. */
@@ -177,6 +164,7 @@
         current = answered;
         beside = null;
         failures = 0;
+        moved = false;
         if (other != null) {
             other.drop();
         }
@@ -186,7 +174,7 @@
     /** For how long an answer asks to stay away; 0 where it does not say. */
     private static double toldMs(FullHttpResponse response) {
         String text = response.headers().get(HttpHeaderNames.RETRY_AFTER);
-        return Math.max(0, Math.min(TOLD_MAX_MS, MS_PER_SECOND * RequestTerms.plain(text, true)));
+        return Math.max(0, MS_PER_SECOND * RequestTerms.plain(text, true));
     }
 
     /** The calls on one connection to an agent. */
@@ -198,7 +186,7 @@
 
         Calls(boolean prompt) {
             this.prompt = prompt;
-            expectWithin(CONNECT_MS + DOUBT_MS);
+            expectWithin(times.firstMs());
         }
 
         void drop() {
@@ -220,15 +208,15 @@
 
         private void call() {
             boolean whole = version == NONE;
-            long hold = whole || prompt ? 0 : HOLD_MS;
+            long hold = whole || prompt ? 0 : times.holdMs();
             prompt = false;
             String uri = whole ? PATH : PATH + "?from=" + version + "&hold_ms=" + hold;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
                     Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             channel.writeAndFlush(request, channel.voidPromise());
-            if (this == current) {
-                expectWithin(hold + (pushed ? DOUBT_MS : hold > 0 ? LINE_MS : PATIENCE_MS));
+            if (this == current && hold > 0) {
+                expectWithin(hold + times.lineMs());
             }
         }
 
@@ -292,7 +280,6 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            stopTimeout();
             ended(this);
         }
 
--- a/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -188,6 +188,74 @@
         assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
     }
 
+    private static final byte[] REFUSAL =
+            bytes("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n");
+
+    private static long msSince(long from) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+    }
+
+    /** The agent of a node that was started with a list. */
+    private ByHand beforeOneThatKnows(String mode) throws IOException {
+        ByHand agent = new ByHand();
+        kept(agent.server);
+        node(agent.server, list(41, true, entry("h0", "127.0.0.1:1", "ready")), mode);
+        return agent;
+    }
+
+    /** Seen in the code: a rest of up to 3 s, then a watch whose silence shows after 4.5 s, then the call beside it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"automatic", "subscribe"})
+    void aSilentCallAfterARefusalLeavesTimeForAnother(String mode) throws Exception {
+        ByHand agent = beforeOneThatKnows(mode);
+        Socket refused = agent.next();
+        long from = System.nanoTime();
+        refused.getOutputStream().write(REFUSAL);
+        agent.next(); // is left silent
+        agent.next(); // beside it
+        assertTrue(msSince(from) < 4500, "6 s less a line, but after " + msSince(from));
+    }
+
+    /** Seen in the code: beside a watch that was silent for 4.5 s, a refused call was made again up to 3 s later. */
+    @ParameterizedTest
+    @ValueSource(strings = {"automatic", "subscribe"})
+    void aRefusedCallBesideASilentWatchIsMadeAgainInTime(String mode) throws Exception {
+        ByHand agent = beforeOneThatKnows(mode);
+        agent.answer(agent.next(), list(42, false));
+        agent.next(); // the watch is left silent
+        long from = System.nanoTime();
+        agent.next().getOutputStream().write(REFUSAL);
+        agent.next();
+        assertTrue(msSince(from) < 5400, "6 s less a short line, but after " + msSince(from));
+    }
+
+    /** After SIGHUP news count as told 4 s later, whatever becomes of the first call to the new address. */
+    @ParameterizedTest
+    @ValueSource(strings = {"automatic refused", "automatic silent", "subscribe refused", "subscribe silent"})
+    void aMoveIsHeardInTimeThoughTwoCallsFail(String way) throws Exception {
+        Server fresh = host(SocketTest::echo);
+        ByHand old = new ByHand();
+        ByHand agent = new ByHand();
+        kept(old.server);
+        kept(agent.server);
+        String mode = way.split(" ")[0];
+        Node node = node(old.server, list(41, true, entry("h0", "127.0.0.1:1", "ready")), mode);
+        old.answer(old.next(), list(42, false));
+        long from = System.nanoTime();
+        node.reload(configured(agent.server));
+        if (way.endsWith("refused")) { // then silent
+            agent.next().getOutputStream().write(REFUSAL);
+            agent.next();
+        } else { // then refused
+            agent.next();
+            agent.next().getOutputStream().write(REFUSAL);
+        }
+        Socket third = agent.next();
+        assertTrue(msSince(from) < 3100, "4 s less a line, but after " + msSince(from));
+        agent.answer(third, list(1, true, entry("h1", fresh.address(), "ready")));
+        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+    }
+
     /** A new configuration that names the same agent leaves the watch as it is, and what that tells is heard. */
     @Test
     void theSameAddressAgainKeepsTheWatch() throws Exception {
