Set descriptors aside for discovery, peers, hosts and the program by name

Seen: with a limit of 128, clients in use, an idle crowd and callers of the second address, and with discovery breaking each call, the process ran out of descriptors ('Too many open files', 3 of 3 trials): ClientServer took 0.42 of the limit, HostClient 0.36, AdminServer 0.03, and each listener took 16 at once beyond that, whose descriptors a close frees only at the next select; what the program holds itself (26 measured, archives and selectors) was in no sum. Then netty rests accepting for 1 s, and a connect tells its failure on netty's global thread: HostClient counted and told the module from there. Ruled out: the share of clients alone (53 of 128), which leaves enough while hosts are few.

Change: Descriptors divides the limit, with a named reserve; at 256 and more the shares are as they were, below they shrink, that of clients to no less than a third. Listeners take 4 at once. A failed connect is told on the loop.

Tests: DescriptorsTest adds up; it fails at 128, 192 and 256 with the former figures.

--- a/src/main/java/deckfall/net/AdminServer.java
+++ b/src/main/java/deckfall/net/AdminServer.java
@@ -40,8 +40,6 @@
     private static final String TELEMETRY = "/api/telemetry";
     private static final String ALLOWED = "GET, HEAD";
     private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
-    private static final double SOCKET_SHARE = 0.03; // of all descriptors
-    private static final int CONNECTIONS_MIN = 4;
     private static final long CALL_MS = 2000; // from a connection's start to its end
     private static final int BACKLOG = 128;
 
@@ -57,10 +55,11 @@
             throws IOException {
         this.ready = ready;
         this.figures = figures;
-        this.maxConnections = Math.max(CONNECTIONS_MIN, (int) (sockets * SOCKET_SHARE));
+        this.maxConnections = Descriptors.alone(sockets).secondAddress();
         try {
             listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                    .option(ChannelOption.RCVBUF_ALLOCATOR, Transport.accepting())
                     .childHandler(new ChannelInitializer<>() {
                         @Override
                         protected void initChannel(Channel ch) {
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -34,7 +34,6 @@
 final class ClientServer {
     static final int MAX_BODY = 40 << 20; // of a request or an answer; those that occur reach 32 MB
     private static final int PIPELINED = 16; // requests read ahead on one connection; then reading stops
-    private static final double SOCKET_SHARE = 0.42; // of all descriptors; the program itself needs some, too
     private static final double PRESSED_SHARE = 0.5; // of the connections that fit: then idle ones give way early
     private static final long SWEEP_MS = 100;
     private static final double SILENT_MS = 2600; // for the first request: true clients take up to 2 s for a head
@@ -111,7 +110,7 @@
     }
 
     private int maxConnections() {
-        return (int) (node.sockets() * SOCKET_SHARE);
+        return node.descriptors().clients();
     }
 
     // ---- which connections stay
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -42,7 +42,6 @@
     private static final double IDLE_SHARE = 0.6; // of the time after which a host may close an idle connection
     private static final double REST_MS = 10; // an answer's second copy comes up to some milliseconds after it
     private static final long SWEEP_MS = 500;
-    private static final double SOCKET_SHARE = 0.36; // of all descriptors; the program itself needs some, too
     private static final double PROBE_TIMEOUT_MS = 250;
 
     private final Node node;
@@ -160,7 +159,7 @@
 
     /** Makes room for one more connection at the cost of one that is idle somewhere. */
     private boolean room() {
-        if (connections < (int) (node.sockets() * SOCKET_SHARE)) {
+        if (connections < node.descriptors().hosts()) {
             return true;
         }
         for (Pool pool : pools.values()) {
@@ -282,9 +281,11 @@
             }
         }).connect(node.transport.at(pool.address));
         connecting.addListener(f -> {
-            if (!f.isSuccess()) { // also where no descriptor was left: then there is no channel to close
-                connections--;
-                c.lost();
+            if (!f.isSuccess()) { // also where no descriptor was left: that is told at once and on another thread
+                node.loop.execute(() -> {
+                    connections--;
+                    c.lost();
+                });
                 return;
             }
             connecting.channel().closeFuture().addListener(closed -> connections--);
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -63,6 +63,8 @@
     final EventLoop loop;
     final LoopLag lag;
     final Budget budget;
+    private final Descriptors alone;
+    private final Descriptors shared;
     private final Events module;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
@@ -98,6 +100,8 @@
         this.loop = group.next();
         this.lag = new LoopLag(clock, loop);
         this.budget = new Budget(config.memoryMb());
+        this.alone = Descriptors.alone(config.sockets());
+        this.shared = Descriptors.shared(config.sockets());
         this.module = maker.apply(this);
         this.tally = new Tally(config.settings().classes());
         this.figures = new Figures(tally.classes(), 0, 0, new Cluster(0, 0));
@@ -307,9 +311,9 @@
         return ending;
     }
 
-    /** The descriptors that this process may use: half, while another shares them. */
-    int sockets() {
-        return beside ? config.sockets() / 2 : config.sockets();
+    /** What this process may use: half of the sockets, while another shares them. */
+    Descriptors descriptors() {
+        return beside ? shared : alone;
     }
 
     boolean closing() {
--- a/src/main/java/deckfall/net/Transport.java
+++ b/src/main/java/deckfall/net/Transport.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
@@ -25,7 +26,8 @@
         @Override
         ServerBootstrap server(EventLoopGroup group) {
             return new ServerBootstrap().group(group).channelFactory(DrainableListener::new)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.RCVBUF_ALLOCATOR, accepting()).option(ChannelOption.SO_REUSEADDR, true)
                     .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                     .childOption(ChannelOption.TCP_NODELAY, true)
                     .childOption(ChannelOption.RCVBUF_ALLOCATOR, readBuffers());
@@ -69,6 +71,11 @@
         return new AdaptiveRecvByteBufAllocator(READ_MIN, READ_FIRST, READ_MAX);
     }
 
+    /** A few connections for each look at the sockets, after which those that were closed are really gone. */
+    static RecvByteBufAllocator accepting() {
+        return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Descriptors.ACCEPTED_AT_ONCE);
+    }
+
     abstract ServerBootstrap server(EventLoopGroup group);
 
     abstract Bootstrap client(EventLoop loop);
--- /dev/null
+++ b/src/test/java/deckfall/net/DescriptorsTest.java
@@ -0,0 +1,29 @@
+package deckfall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What is set aside for discovery, peers and the program itself. */
+class DescriptorsTest {
+    @ParameterizedTest
+    @ValueSource(ints = {128, 192, 256, 512, 1024, 4096})
+    void allTogetherFitAndClientsHaveTheirThird(int limit) {
+        Descriptors d = Descriptors.alone(limit);
+        assertTrue(d.most() <= limit, d.toString());
+        assertTrue(d.clients() >= limit / 3, d.toString());
+        assertTrue(d.hosts() >= limit / 4, d.toString());
+    }
+
+    /** Half of the sockets are a process's own where two run; there is one second address each, told at its start. */
+    @ParameterizedTest
+    @ValueSource(ints = {256, 512, 1024, 4096})
+    void twoProcessesFitTogether(int limit) {
+        Descriptors d = Descriptors.shared(limit);
+        assertTrue(d.clients() + d.hosts() + d.secondAddress() + 16 <= limit / 2, d.toString());
+        assertTrue(2 * d.clients() >= limit / 3, d.toString());
+        assertEquals(Descriptors.alone(limit).secondAddress(), d.secondAddress());
+    }
+}
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -9,11 +9,18 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -21,6 +28,7 @@
 /** The program as the platform starts and ends it. */
 class ProcessTest {
     private static final int DESCRIPTORS = 100;
+    private static final int LIMIT = 128; // which the configuration tells as well
 
     @TempDir
     private Path dir;
@@ -39,9 +47,13 @@
     }
 
     private Process launch(String config, String log) throws IOException {
+        return launch(config, log, DESCRIPTORS);
+    }
+
+    private Process launch(String config, String log, int descriptors) throws IOException {
         Path file = Files.writeString(dir.resolve("config.json"), config);
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"", java,
+        ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + "; exec \"$0\" \"$@\"", java,
                 "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "deckfall.Main", "serve");
         b.environment().put("NODE_CONFIG", file.toString());
         b.environment().put("TMPDIR", Files.createDirectories(dir.resolve("shared")).toString());
@@ -113,6 +125,115 @@
         awaitReady();
     }
 
+    /** Clients that say nothing, ever new ones; the oldest leave where there are many. */
+    private void crowd(int second, AtomicBoolean over, CountDownLatch many) {
+        ArrayDeque<Socket> crowd = new ArrayDeque<>();
+        int came = 0;
+        try {
+            while (!over.get()) {
+                try {
+                    crowd.add(new Socket(InetAddress.getLoopbackAddress(), came % 10 == 0 ? second : port));
+                } catch (IOException refused) {
+                    continue;
+                }
+                if (++came == 10 * LIMIT) {
+                    many.countDown();
+                }
+                if (crowd.size() > 2 * LIMIT) {
+                    crowd.remove().close();
+                }
+            }
+            for (Socket s : crowd) {
+                s.close();
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Clients in use, hosts and a crowd have all that they may, and each call to discovery takes a descriptor anew. */
+    @Test
+    void discoveryAndHostsAreReachedThoughClientsTakeAllDescriptorsTheyCan() throws Exception {
+        choosePort();
+        int second = port;
+        choosePort();
+        AtomicBoolean up = new AtomicBoolean();
+        AtomicBoolean over = new AtomicBoolean();
+        CountDownLatch first = new CountDownLatch(1);
+        CountDownLatch others = new CountDownLatch(1);
+        CountDownLatch heard = new CountDownLatch(1);
+        CountDownLatch many = new CountDownLatch(1);
+        Semaphore held = new Semaphore(0);
+        List<Socket> busy = new ArrayList<>();
+        try (Sockets.Server old = new Sockets.Server((m, s) -> {
+                    held.release();
+                    (m.header("X-Trace-Id").equals("b0") ? first : others).await();
+                    SocketTest.echo(m, s);
+                });
+                Sockets.Server fresh = new Sockets.Server(SocketTest::echo);
+                Sockets.Server discovery = new Sockets.Server((m, s) -> {
+                    if (!up.get()) {
+                        s.close();
+                    } else if (m.start().contains("from=41&")) {
+                        s.getOutputStream().write(Sockets.ok(Sockets.list(42, false,
+                                asHosts("old", old, "draining"), asHosts("fresh", fresh, "ready"))));
+                    } else {
+                        heard.countDown();
+                    }
+                })) {
+            process = launch(config(discovery.address())
+                    .replace("\"seed\"", "\"admin_addr\": \"127.0.0.1:" + second + "\", \"seed\"")
+                    .replace("\"sockets\": 1024", "\"sockets\": " + LIMIT)
+                    .replace("{\"version\": 0, \"full\": true, \"servers\": []}",
+                            Sockets.list(41, true, asHosts("old", old, "ready"))), "log", LIMIT);
+            awaitReady();
+            for (int i = 0; i < LIMIT / 4; i++) {
+                Socket s = new Socket(InetAddress.getLoopbackAddress(), port);
+                s.setSoTimeout(Sockets.PATIENCE_MS);
+                busy.add(s);
+                s.getOutputStream().write(Sockets.bytes(Sockets.view("b" + i, Sockets.PATIENCE_MS)));
+                assertTrue(held.tryAcquire(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS), "not sent on: " + i);
+            }
+            busy.get(0).getOutputStream().write(Sockets.bytes(Sockets.view("after", Sockets.PATIENCE_MS)));
+            Thread crowd = new Thread(() -> crowd(second, over, many));
+            crowd.start();
+            assertTrue(many.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            up.set(true);
+            assertTrue(heard.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS), "the list was not read");
+            first.countDown();
+            assertEquals("for b0 ", Sockets.read(busy.get(0).getInputStream()).text());
+            assertEquals("for after ", Sockets.read(busy.get(0).getInputStream()).text());
+            assertEquals(1, fresh.asked.stream().filter(m -> "after".equals(m.header("X-Trace-Id"))).count());
+            Socket quiet = new Socket(InetAddress.getLoopbackAddress(), port);
+            quiet.setSoTimeout(3000);
+            assertEquals(-1, endOf(quiet));
+            over.set(true);
+            crowd.join();
+            assertFalse(Files.readString(dir.resolve("log")).contains("Too many open files"));
+        } finally {
+            over.set(true);
+            others.countDown();
+            first.countDown();
+            for (Socket s : busy) {
+                s.close();
+            }
+        }
+    }
+
+    /** One server under the names of several hosts, each of which is sent what one host bears. */
+    private static String asHosts(String name, Sockets.Server server, String state) {
+        return IntStream.range(0, 8).mapToObj(i -> Sockets.entry(name + i, server.address(), state))
+                .collect(Collectors.joining(","));
+    }
+
+    private static int endOf(Socket s) throws IOException {
+        try {
+            return s.getInputStream().read();
+        } catch (SocketException reset) {
+            return -1;
+        }
+    }
+
     /** Else its first clients meet interpreted code, which on a part of a core serves half of them. */
     @Test
     void isReadyOnlyOnceItsCodeIsWarm() throws Exception {
