Hold others' open attempts against a limit for 12 s, not 5

A gateway meets a customer of a limited plan every few seconds, so most tries met a figure older than 5 s.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -26,7 +26,7 @@
     private static final double LAG_MS = 60; // a told figure's age on arrival: half a gap and the way
     private static final double METER_LAG_MS = 1300; // a metered figure's age: half its period and the way
     private static final double METER_KEPT_MS = 20_000; // a metered figure this old tells nothing any more
-    private static final double PEAK_KEPT_MS = 5000; // a metered peak of attempts out holds so long
+    private static final double PEAK_KEPT_MS = 12_000; // a metered peak of attempts out holds so long
     private static final double SPARE = 2; // times its units in the store, where no word of others is fresh
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
     // Keepers and tells
