Read lists of hosts piece by piece as they come, without a tree or their whole text

Seen: a list of 40,000 hosts, 5.6 MB, was refused by MAX_LIST (4 MiB) and asked for anew at once, some 800 times in two minutes; one of 30,000 was taken as bytes, as a tree and as entries at once, with `Java heap space` in the log of a 48 MB heap; 40,000 hosts in `known` ended the main thread. At fault: Discovery.channelRead0 behind HttpObjectAggregator, and NodeConfig.known, a tree that was kept for the life of the process.

HostListReader feeds the parser that does not block with slices of 16 KiB, one in a turn of the loop, and keeps the entries alone; texts that hosts share are held once. What memory allows comes from the heap, by a figure for one host. A list over it is refused in one line with its size and the limit, the last good one serves on, and it is asked for again after 1 to 3 s. `known` goes through the same reader out of the file, is dropped once the module has it, and is not read at SIGHUP.

Only UTF-8 is read now, where the tree also took UTF-16.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -1,34 +1,34 @@
 package deckfall.net;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import deckfall.Gateway.Host;
-import deckfall.Gateway.HostState;
 import deckfall.Gateway.ListKind;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -40,15 +40,15 @@
  * one that an agent left unanswered while it was cut off may still be answered at its return.
  */
 final class Discovery {
-    static final String LIST = "servers";
     private static final long NONE = -1;
-    private static final String VERSION = "version";
     private static final String PATH = "/v1/servers";
     private static final double MS_PER_SECOND = 1000;
-    private static final int MAX_LIST = 4 << 20;
-
-    /** A host with the address at which this api gateway reaches it; null where it is gone or was not told. */
-    record Entry(Host host, InetSocketAddress address) { }
+    /**
+     * How much of a list is read in one turn of the event loop: a quarter of a millisecond's work, beside which
+     * requests are served.
+     */
+    static final int SLICE_BYTES = 16 * 1024;
+    private static final int FIRST_SLICE_BYTES = 2 * 1024; // of an answer: most lists are short
 
     private final Node node;
     private final DiscoveryTimes times;
@@ -60,21 +60,22 @@
     private boolean moved; // and none has come from the agent that is asked since
     private long version; // of the list that is held; NONE where the whole list is still to come
 
-    Discovery(Node node) {
+    /** {@code known}: the list that is held from the start on, or null. */
+    Discovery(Node node, HostList known) {
         this.node = node;
         this.agent = node.config.discovery();
         this.times = new DiscoveryTimes(!node.config.settings().subscribe(),
                 node.config.settings().rules().drainGraceMs(), node.config.settings().seed());
         this.heard = node.loop.newPromise();
-        this.version = versionOf(node.config.known());
+        this.version = versionOf(known);
     }
 
     /**
      * Of a list that holds something; where a fleet starts, all ask, and what changed since is a fraction of the
      * whole list. It would be wrong only where an agent numbers anew, which is told by a whole list or an error.
      */
-    private static long versionOf(JsonNode known) {
-        return known.path(LIST).isEmpty() ? NONE : known.path(VERSION).asLong(NONE);
+    private static long versionOf(HostList known) {
+        return known == null || known.entries().isEmpty() ? NONE : known.version();
     }
 
     /** Done with the first answer; after {@code patienceMs} without one, too. */
@@ -108,10 +109,11 @@
         ChannelFuture connecting = new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DiscoveryTimes.CONNECT_MS)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, slices())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_LIST), calls);
+                        ch.pipeline().addLast(new HttpClientCodec(), calls);
                     }
                 }).connect(agent);
         calls.channel = connecting.channel();
@@ -123,6 +125,12 @@
         return calls;
     }
 
+    /** One slice, and then others have their turn of the loop. */
+    static RecvByteBufAllocator slices() {
+        return new AdaptiveRecvByteBufAllocator(FIRST_SLICE_BYTES, FIRST_SLICE_BYTES, SLICE_BYTES)
+                .maxMessagesPerRead(1);
+    }
+
     private void askBeside() {
         if (beside == null) {
             beside = open(true);
@@ -154,7 +162,7 @@
 
     /** {@code late}: the time in which news count as told has begun before the call that failed. */
     private void later(Calls failed, boolean late, Runnable again) {
-        long pause = times.pauseMs(failed.toldMs, failures++, late);
+        long pause = failed.tooLong ? times.tooLongMs() : times.pauseMs(failed.toldMs, failures++, late);
         node.loop.schedule(again, pause, TimeUnit.MILLISECONDS);
     }
 
@@ -172,17 +180,21 @@
     }
 
     /** For how long an answer asks to stay away; 0 where it does not say. */
-    private static double toldMs(FullHttpResponse response) {
+    private static double toldMs(HttpResponse response) {
         String text = response.headers().get(HttpHeaderNames.RETRY_AFTER);
         return Math.max(0, MS_PER_SECOND * RequestTerms.plain(text, true));
     }
 
     /** The calls on one connection to an agent. */
-    private final class Calls extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Calls extends SimpleChannelInboundHandler<HttpObject> {
         private Channel channel;
         private Future<?> timeout;
         private double toldMs;
+        private boolean tooLong; // what it was told is more than memory holds
         private boolean prompt; // the next call is to be answered at once
+        private HostListReader list; // that is being told, or null
+        private byte[] slice;
+        private boolean keepAlive;
 
         Calls(boolean prompt) {
             this.prompt = prompt;
@@ -239,10 +251,25 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) throws IOException {
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) throws IOException {
             if (!isHeard()) {
                 return; // of an agent that was left, or late: its word may be older than what was told since
             }
+            if (part.decoderResult().isFailure()) {
+                throw new IOException("an answer that is no HTTP: " + part.decoderResult().cause().getMessage());
+            }
+            if (part instanceof HttpResponse) {
+                begun((HttpResponse) part);
+            }
+            if (part instanceof HttpContent && list != null) {
+                read(((HttpContent) part).content());
+                if (part instanceof LastHttpContent) {
+                    told(ctx);
+                }
+            }
+        }
+
+        private void begun(HttpResponse response) throws IOException {
             if (!response.status().equals(HttpResponseStatus.OK)) {
                 toldMs = toldMs(response);
                 if (response.status().codeClass() == HttpStatusClass.CLIENT_ERROR) {
@@ -250,85 +277,85 @@
                 }
                 throw new IOException("discovery answered " + response.status());
             }
-            JsonNode list;
-            try (InputStream in = new ByteBufInputStream(response.content())) {
-                list = JsonTree.read(in);
+            keepAlive = HttpUtil.isKeepAlive(response);
+            list = new HostListReader(HostListReader.limitBytes());
+            try {
+                list.announce(HttpUtil.getContentLength(response, 0L));
+            } catch (HostList.TooLong e) {
+                throw refused(e);
+            }
+        }
+
+        /** It will hardly be shorter the next moment; the list that is held serves on. */
+        private HostList.TooLong refused(HostList.TooLong list) {
+            tooLong = true;
+            return list;
+        }
+
+        private void read(ByteBuf text) throws IOException {
+            if (slice == null) {
+                slice = new byte[SLICE_BYTES];
+            }
+            try {
+                while (text.isReadable()) {
+                    int length = Math.min(slice.length, text.readableBytes());
+                    text.readBytes(slice, 0, length);
+                    list.feed(slice, 0, length);
+                }
+            } catch (HostList.TooLong e) {
+                throw refused(e);
             } catch (IOException e) {
                 version = NONE; // what it told is lost, and the whole list holds it too
                 throw e;
             }
-            if (!list.path(VERSION).isIntegralNumber() || !list.path(LIST).isArray()) {
-                throw new IOException("a list without a version or without hosts");
+        }
+
+        private void told(ChannelHandlerContext ctx) throws IOException {
+            HostList told;
+            try {
+                told = list.finish();
+            } catch (IOException e) {
+                version = NONE;
+                throw e;
+            } finally {
+                dropList();
             }
-            boolean whole = list.path("full").asBoolean();
-            List<Entry> entries = entries(list);
-            if (whole && entries.isEmpty() && node.knowsHosts()) {
+            if (told.full() && told.entries().isEmpty() && node.knowsHosts()) {
                 throw new IOException("an empty list"); // a fleet with no host at all is less likely than a fault
             }
             follow(this);
-            version = Math.max(NONE, list.path(VERSION).asLong(NONE));
-            if (HttpUtil.isKeepAlive(response)) {
+            version = told.version();
+            if (keepAlive) {
                 call(); // the next call first, so that no change falls between
             } else {
                 stopTimeout();
                 ctx.close();
             }
-            if (whole || !entries.isEmpty()) {
-                node.hostsTold(whole ? ListKind.FULL : ListKind.CHANGES, entries);
+            if (told.full() || !told.entries().isEmpty()) {
+                node.hostsTold(told.full() ? ListKind.FULL : ListKind.CHANGES, told.entries());
+            }
+        }
+
+        private void dropList() {
+            if (list != null) {
+                list.close();
+                list = null;
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            dropList();
             ended(this);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (failures == 0 && isHeard()) { // one line for a spell of failures, however often it is asked
-                Node.log("discovery: " + cause.getMessage());
+                Node.log("discovery: " + String.valueOf(cause.getMessage()).lines().findFirst().orElse(""));
             }
+            dropList();
             ctx.close();
         }
     }
-
-    /**
-     * The entries of a list in discovery's form. One that can't be read must not keep the others from being heard,
-     * nor may its host get more work on the strength of what was told before: where it has a name, it drains.
-     */
-    static List<Entry> entries(JsonNode list) {
-        List<Entry> entries = new ArrayList<>();
-        for (JsonNode e : list.path(LIST)) {
-            try {
-                entries.add(entry(e));
-            } catch (IllegalArgumentException bad) {
-                String id = e.path("id").asText();
-                Node.log("discovery: entry '" + id + "': " + bad.getMessage());
-                if (!id.isEmpty()) {
-                    entries.add(new Entry(host(e, id, HostState.DRAINING), null));
-                }
-            }
-        }
-        return entries;
-    }
-
-    private static Entry entry(JsonNode e) {
-        String id = e.path("id").asText();
-        if (id.isEmpty()) {
-            throw new IllegalArgumentException("no id");
-        }
-        HostState state = switch (e.path("state").asText()) {
-            case "ready" -> HostState.RUNNING;
-            case "draining" -> HostState.DRAINING;
-            case "gone" -> HostState.GONE;
-            default -> throw new IllegalArgumentException("unknown host state " + e.path("state"));
-        };
-        return new Entry(host(e, id, state), state == HostState.GONE ? null
-                : NodeConfig.address(e.path("addr").asText()));
-    }
-
-    private static Host host(JsonNode e, String id, HostState state) {
-        return new Host(id, e.path("zone").asText(), e.path("kind").asText(), e.path("cell").asInt(), state,
-                e.path("weight").asDouble(1), e.path("started_ms").asDouble());
-    }
 }
--- a/src/main/java/deckfall/net/DiscoveryTimes.java
+++ b/src/main/java/deckfall/net/DiscoveryTimes.java
@@ -19,6 +19,7 @@
     private static final double BESIDE_SHARE = 0.4; // of a drain's grace, for an agent nearby
     private static final double AGAIN_MS = 50; // after a failure; a watch is broken only after 200
     private static final double AGAIN_MAX_MS = 1000; // after many, or where more is told: 1.5 times this at most
+    private static final double TOO_LONG_MS = 2000; // after a whole list that can't be held, whoever brings it
     private static final double AGAIN_LATE_MS = 330; // after the first, where that came late: what is left is little
     private static final double AGAIN_SHARE = 0.3; // of a drain's grace, where what an agent nearby holds is told
     private static final double NEARBY_MAX_MS = 1000; // however long a drain's grace: a silent watch took 4 s before
@@ -64,6 +65,11 @@
         return (long) (wait * (0.5 + random.nextDouble()));
     }
 
+    /** The rest after a list that memory does not hold: it will hardly be shorter the next moment. */
+    long tooLongMs() {
+        return (long) (TOO_LONG_MS * (0.5 + random.nextDouble()));
+    }
+
     private double nearby(double share) {
         return Math.max(AGAIN_MS, Math.min(NEARBY_MAX_MS, share * graceMs));
     }
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -105,9 +105,9 @@
 
     // ---- the list
 
-    void listed(ListKind kind, List<Discovery.Entry> entries) {
+    void listed(ListKind kind, List<HostList.Entry> entries) {
         Set<String> named = new HashSet<>();
-        for (Discovery.Entry e : entries) {
+        for (HostList.Entry e : entries) {
             String id = e.host().id();
             named.add(id);
             Pool old = pools.get(id);
--- a/src/main/java/deckfall/net/JsonTree.java
+++ b/src/main/java/deckfall/net/JsonTree.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.ValueNode;
 import java.io.IOException;
 import java.io.InputStream;
 
@@ -22,11 +23,22 @@
 
     private JsonTree() { }
 
+    /** Takes fields of the outermost object that are not to become part of its tree. */
+    interface Branch {
+        /** Whether it has taken the value, at whose first token the parser stands, to its last one. */
+        boolean takes(String field, JsonParser at) throws IOException;
+    }
+
     /** The first value of the text; a missing node where there is none. The parser bounds how deep it may nest. */
     static JsonNode read(InputStream text) throws IOException {
+        return read(text, (field, at) -> false);
+    }
+
+    static JsonNode read(InputStream text, Branch branch) throws IOException {
         try (JsonParser parser = FACTORY.createParser(text)) {
             JsonToken first = parser.nextToken();
-            return first == null ? MissingNode.getInstance() : value(parser, first);
+            return first == null ? MissingNode.getInstance()
+                    : first == JsonToken.START_OBJECT ? object(parser, branch) : value(parser, first);
         }
     }
 
@@ -36,9 +48,17 @@
         }
         switch (token) {
             case START_OBJECT:
-                return object(parser);
+                return object(parser, (field, at) -> false);
             case START_ARRAY:
                 return array(parser);
+            default:
+                return scalar(parser, token);
+        }
+    }
+
+    /** The value of one token that is neither a bracket nor a name. */
+    static ValueNode scalar(JsonParser parser, JsonToken token) throws IOException {
+        switch (token) {
             case VALUE_STRING:
                 return NODES.textNode(parser.getText());
             case VALUE_NUMBER_INT:
@@ -56,10 +76,13 @@
         }
     }
 
-    private static ObjectNode object(JsonParser parser) throws IOException {
+    private static ObjectNode object(JsonParser parser, Branch branch) throws IOException {
         ObjectNode object = NODES.objectNode();
         for (String name = parser.nextFieldName(); name != null; name = parser.nextFieldName()) {
-            object.set(name, value(parser, parser.nextToken()));
+            JsonToken first = parser.nextToken();
+            if (first == null || !branch.takes(name, parser)) {
+                object.set(name, value(parser, first));
+            }
         }
         return object;
     }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -73,6 +73,7 @@
     private final Discovery discovery;
     private final PeerLink peers;
     private Mail mail;
+    private HostList known; // by the configuration, until the module has been told
     private final CountDownLatch drained = new CountDownLatch(1);
     private final Tally tally;
     private volatile Figures figures;
@@ -94,7 +95,8 @@
     }
 
     Node(NodeConfig config, Function<Actions, Events> maker, Transport transport, NioEventLoopGroup group) {
-        this.config = config;
+        this.config = config.withoutKnown();
+        this.known = config.known();
         this.transport = transport;
         this.group = group;
         this.loop = group.next();
@@ -107,7 +109,7 @@
         this.figures = new Figures(tally.classes(), 0, 0, new Cluster(0, 0));
         this.clients = new ClientServer(this);
         this.hosts = new HostClient(this);
-        this.discovery = new Discovery(this);
+        this.discovery = new Discovery(this, config.known());
         this.peers = new PeerLink(this);
         this.mail = peers;
     }
@@ -215,8 +217,9 @@
         serving = true;
         lag.start();
         tell((now, m) -> m.start(now, config.settings()));
-        if (config.known().hasNonNull(Discovery.LIST)) {
-            hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
+        if (known != null) {
+            hostsTold(ListKind.CACHED, known.entries());
+            known = null;
         }
         if (left != null) {
             log("takes over the books of " + left.customers().size() + " customers");
@@ -458,7 +461,7 @@
         return hosts.known();
     }
 
-    void hostsTold(ListKind kind, List<Discovery.Entry> entries) {
+    void hostsTold(ListKind kind, List<HostList.Entry> entries) {
         hosts.listed(kind, entries);
         List<Host> list = new ArrayList<>(entries.size());
         entries.forEach(e -> list.add(e.host()));
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -1,5 +1,7 @@
 package deckfall.net;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import deckfall.Gateway.Settings;
 import deckfall.wire.Fields;
@@ -19,10 +21,14 @@
 import java.util.StringJoiner;
 import java.util.TreeMap;
 
-/** What this api gateway was told at its start; anything missing or malformed is a {@link BadConfig}. */
+/**
+ * What this api gateway was told at its start; anything missing or malformed is a {@link BadConfig}. {@code known} is
+ * null where no list was told, or one too long.
+ */
 record NodeConfig(InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
-        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, int sockets, int memoryMb, JsonNode known, Settings settings,
+        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, int sockets, int memoryMb, HostList known, Settings settings,
         double connectTimeoutMs, double idleMs, int maxOpen) {
+    private static final String KNOWN = "known";
     private static final int PORT_MAX = 65_535;
     private static final int HEX = 16;
     private static final int DEFAULT_SOCKETS = 1024;
@@ -41,11 +47,20 @@
     }
 
     static NodeConfig read(String file) throws BadConfig {
+        return read(file, true);
+    }
+
+    /** Without the list of hosts, which is of use at a start alone. */
+    static NodeConfig readAgain(String file) throws BadConfig {
+        return read(file, false);
+    }
+
+    private static NodeConfig read(String file, boolean withKnown) throws BadConfig {
         if (file == null || file.isEmpty()) {
             throw new BadConfig("NODE_CONFIG names no file");
         }
         try (InputStream text = Files.newInputStream(Path.of(file))) {
-            return of(JsonTree.read(text));
+            return read(text, withKnown);
         } catch (IOException e) {
             throw new BadConfig("can't read " + file + ": " + e.getMessage().lines().findFirst().orElse(""));
         } catch (WireFault | IllegalArgumentException e) {
@@ -53,6 +68,40 @@
         }
     }
 
+    static NodeConfig read(InputStream text, boolean withKnown) throws IOException {
+        HostList[] known = new HostList[1];
+        return of(JsonTree.read(text, (field, at) -> {
+            if (field.equals(KNOWN)) {
+                known[0] = withKnown ? known(at) : null;
+                return withKnown || at.skipChildren() != null;
+            }
+            return false;
+        }), known[0]);
+    }
+
+    /** Read without a tree, since it may be longer than all else by far; null where there is none, or too long a one. */
+    private static HostList known(JsonParser at) throws IOException {
+        long from = at.currentTokenLocation().getByteOffset();
+        int depth = at.getParsingContext().getNestingDepth();
+        try {
+            return HostListBuilder.read(at, HostListReader.limitBytes());
+        } catch (HostList.TooLong e) {
+            JsonToken token = at.currentToken();
+            while (token != null && !(token.isStructEnd() && at.getParsingContext().getNestingDepth() < depth)) {
+                token = at.nextToken();
+            }
+            Node.log("deckfall: the list in '" + KNOWN + "' is refused, which is "
+                    + (at.currentLocation().getByteOffset() - from) + " bytes long: " + e.getMessage());
+            return null;
+        }
+    }
+
+    /** Without the list of hosts, once it has been told: it would stay in memory as long as this. */
+    NodeConfig withoutKnown() {
+        return new NodeConfig(listen, admin, discovery, peerListen, peers, peersAll, sockets, memoryMb, null, settings,
+                connectTimeoutMs, idleMs, maxOpen);
+    }
+
     /** With a second address that was told to this process alone, where it was told one. */
     NodeConfig withAdmin(String address) throws BadConfig {
         if (address == null || address.isEmpty()) {
@@ -66,7 +115,13 @@
         }
     }
 
-    static NodeConfig of(JsonNode root) {
+    static NodeConfig of(JsonNode root) throws IOException {
+        try (JsonParser known = root.path(KNOWN).traverse()) {
+            return of(root, HostListBuilder.read(known, HostListReader.limitBytes()));
+        }
+    }
+
+    private static NodeConfig of(JsonNode root, HostList known) {
         if (!root.isObject()) {
             throw new IllegalArgumentException("not a JSON object");
         }
@@ -85,7 +140,7 @@
                 address(text(root, "discovery")), mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
                 root.hasNonNull("peers_all") ? address(text(root, "peers_all")) : null,
                 root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS),
-                root.path("limits").path("memory_mb").asInt(DEFAULT_MEMORY_MB), root.path("known"), settings,
+                root.path("limits").path("memory_mb").asInt(DEFAULT_MEMORY_MB), known, settings,
                 fields.number("limits.connect_timeout_ms", DEFAULT_CONNECT_MS),
                 fields.number("limits.conn_idle_ms", DEFAULT_IDLE_MS),
                 (int) fields.number("limits.max_open", DEFAULT_MAX_OPEN));
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -44,8 +44,8 @@
         }
         InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         String address = at.getAddress().getHostAddress() + ':' + port;
-        NodeConfig config = NodeConfig.of(JsonTree.read(
-                new ByteArrayInputStream(CONFIG.formatted(address).getBytes(StandardCharsets.UTF_8))));
+        NodeConfig config = NodeConfig.read(
+                new ByteArrayInputStream(CONFIG.formatted(address).getBytes(StandardCharsets.UTF_8)), true);
         Node node = new Node(config);
         Reload.onHangup("");
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
--- a/src/main/java/deckfall/net/Reload.java
+++ b/src/main/java/deckfall/net/Reload.java
@@ -36,7 +36,7 @@
             return;
         }
         try {
-            node.reload(NodeConfig.read(file));
+            node.reload(NodeConfig.readAgain(file));
         } catch (NodeConfig.BadConfig e) {
             Node.log("deckfall: the settings stay as they were: " + e.getMessage());
         }
--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -1,6 +1,5 @@
 package deckfall.net;
 
-import com.fasterxml.jackson.databind.node.MissingNode;
 import deckfall.Brain;
 import deckfall.Gateway.Effect;
 import deckfall.Gateway.Host;
@@ -125,10 +124,10 @@
     }
 
     private void start() throws InterruptedException {
-        List<Discovery.Entry> list = new ArrayList<>();
+        List<HostList.Entry> list = new ArrayList<>();
         for (int i = 0; i < HOSTS; i++) {
             InetSocketAddress at = hostAddress(i);
-            list.add(new Discovery.Entry(
+            list.add(new HostList.Entry(
                     new Host("warm-" + i, config.settings().zone(), "", 0, HostState.RUNNING, 1, 0), at));
             TRANSPORT.server(outside).childHandler(new ChannelInitializer<>() {
                 @Override
@@ -163,7 +162,7 @@
                 sharing.zonePrice());
         Settings settings = new Settings(s.seed(), me, 2, s.zone(), false, s.classes(), s.plans(), s.reportNames(),
                 s.limits(), s.rules(), quick);
-        return new NodeConfig(address(me), null, null, null, List.of(), null, config.sockets(), config.memoryMb(), MissingNode.getInstance(),
+        return new NodeConfig(address(me), null, null, null, List.of(), null, config.sockets(), config.memoryMb(), null,
                 settings, config.connectTimeoutMs(), config.idleMs(), config.maxOpen());
     }
 
