End a process that can't go on at once, with one plain line

Seen: with 40,000 hosts in `known` the main thread ended with an OutOfMemoryError, and the process neither served nor ended, since the event loops run on. An error in the loop is no better off: netty hands it to exceptionCaught, where our handlers close one connection, or drops it with the task.

A main thread that ends by whatever is thrown, and an error that reaches the module's caller, a handler's exceptionCaught or netty's log, halts the process with one line and exit 1. Buffers beside the heap that have run out still cost one connection alone.

Tests: a real process with a configuration beyond its heap, and one each whose module throws an error at a request and in a timer's task.

--- a/src/main/java/deckfall/net/AdminServer.java
+++ b/src/main/java/deckfall/net/AdminServer.java
@@ -155,6 +155,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            Fatal.check(cause);
             ctx.close();
         }
     }
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -583,6 +583,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            Fatal.check(cause);
             channel.close();
         }
     }
--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -351,6 +351,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            Fatal.check(cause);
             if (failures == 0 && isHeard()) { // one line for a spell of failures, however often it is asked
                 Node.log("discovery: " + String.valueOf(cause.getMessage()).lines().findFirst().orElse(""));
             }
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -482,6 +482,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        Fatal.check(cause);
         lost();
         close();
     }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -116,6 +116,7 @@
 
     /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
     public static void main(String configFile, String adminAddress) {
+        Fatal.arm();
         plainLogs();
         Reload reload = Reload.onHangup(configFile); // first of all: SIGHUP ends a process that does not take it
         try {
@@ -241,6 +242,7 @@
         root.addHandler(new Handler() {
             @Override
             public void publish(LogRecord r) {
+                Fatal.check(r.getThrown());
                 log(r.getLevel() + " " + r.getMessage() + (r.getThrown() == null ? "" : " " + r.getThrown()));
             }
 
@@ -302,6 +304,9 @@
                 } catch (RuntimeException e) { // the guard of its deadline still answers the request concerned
                     log("defect: the module threw " + e);
                     e.printStackTrace();
+                } catch (Error e) {
+                    Fatal.check(e);
+                    throw e;
                 }
             }
         } finally {
--- a/src/main/java/deckfall/net/PeerLink.java
+++ b/src/main/java/deckfall/net/PeerLink.java
@@ -76,5 +76,7 @@
 
     /** A lost message is normal, and so is an error that an earlier one brought back. */
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        Fatal.check(cause);
+    }
 }
--- /dev/null
+++ b/src/test/java/deckfall/net/FatalTest.java
@@ -0,0 +1,103 @@
+package deckfall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.Brain;
+import deckfall.Gateway.Events;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A process that can't go on ends at once: once it neither served nor ended. */
+class FatalTest {
+    private static final int HALTED = 1;
+
+    @TempDir
+    private Path dir;
+    private Process process;
+
+    @AfterEach
+    void end() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    private void start(String main, String argument, String config) throws Exception {
+        Path file = Files.writeString(dir.resolve("config.json"), config);
+        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-Xmx32m", "-cp", System.getProperty("java.class.path"), main, argument);
+        b.environment().put("NODE_CONFIG", file.toString());
+        b.environment().put("TMPDIR", dir.toString());
+        process = b.redirectError(dir.resolve("log").toFile()).start();
+    }
+
+    private void assertEnded(String line) throws Exception {
+        assertTrue(process.waitFor(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS), "runs on");
+        assertEquals(HALTED, process.exitValue());
+        assertEquals(List.of(line), Files.readAllLines(dir.resolve("log")));
+    }
+
+    @Test
+    void withoutMemoryForItsConfiguration() throws Exception {
+        start("deckfall.Main", "serve", Sockets.config("127.0.0.1:1", "127.0.0.1:0",
+                java.util.Collections.nCopies(800_000, "127.0.0.1:1").toArray(String[]::new)));
+        assertEnded("deckfall: can't go on: java.lang.OutOfMemoryError: Java heap space");
+    }
+
+    /** The loop's library drops an error with the task that threw it. */
+    @Test
+    void whenTheModuleFailsInATaskOfTheEventLoop() throws Exception {
+        start(Failing.class.getName(), "timer", Sockets.config("127.0.0.1:1", "127.0.0.1:0"));
+        assertEnded("deckfall: can't go on: java.lang.StackOverflowError: timer");
+    }
+
+    /** The loop's library turns an error into one closed connection. */
+    @Test
+    void whenTheModuleFailsAtARequest() throws Exception {
+        start(Failing.class.getName(), "request", Sockets.config("127.0.0.1:1", "127.0.0.1:0"));
+        int port = process.getInputStream().read() << 8 | process.getInputStream().read();
+        try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            s.getOutputStream().write(Sockets.bytes(Sockets.view("v", Sockets.PATIENCE_MS)));
+            assertEnded("deckfall: can't go on: java.lang.StackOverflowError: request");
+        }
+    }
+
+    /** Of a node that serves, for a module that fails. */
+    public static final class Failing {
+        private Failing() { }
+
+        public static void main(String[] args) throws Exception {
+            Fatal.arm();
+            Node.plainLogs();
+            NodeConfig config = NodeConfig.read(System.getenv("NODE_CONFIG"));
+            Node node = new Node(config, act -> {
+                Brain brain = new Brain(act);
+                return (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), new Class<?>[] {Events.class},
+                        (proxy, method, values) -> {
+                            if (method.getName().equals(args[0])) {
+                                throw new StackOverflowError(args[0]);
+                            }
+                            try {
+                                return method.invoke(brain, values);
+                            } catch (InvocationTargetException e) {
+                                throw e.getCause();
+                            }
+                        });
+            });
+            node.start();
+            System.out.write(node.port() >> 8);
+            System.out.write(node.port());
+            System.out.flush();
+        }
+    }
+}
