Read a client's socket to its end before each attempt, whatever stands unread ahead of it

An attempt began for a client that had closed its connection long before, (1) behind more than 4 KiB sent ahead, (2) behind a long body sent ahead of its turn, (3) where request and end stood in the socket of a loop that had been busy, (4) where the end stood there as a timer, an answer, a peer's word or a connection that came up brought the next attempt about.

At fault: Valve.AHEAD and ClientServer.regulate (reading stopped, so the end was not read); Connection.channelRead, which takes a request in the middle of a read; Node.send and HostClient.connect, which went by what had been read. Ruled out: the module, which drops a client's request from every queue once it is told.

Now each attempt looks at the client's socket first, unless it is being read at that moment; what is read late, or was kept, is taken after that read. Up to 128 KiB are kept of one client, all together a quarter of the budget for streams. Who has sent more behind a request whose attempt is to begin gets what was kept served, then a 503 and the end of the connection: the protocol has clients send one request at a time. What comes beyond is read away, 8 MiB at most.

--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -43,7 +43,7 @@
 
     @Override
     boolean isWanted() {
-        return !owner.closed();
+        return node.isAwaited(owner);
     }
 
     @Override
--- a/src/main/java/deckfall/net/Budget.java
+++ b/src/main/java/deckfall/net/Budget.java
@@ -9,9 +9,11 @@
     private static final int WINDOW_MAX = 64 * 1024;
     private static final int WINDOW_MIN = 4 * 1024;
     private static final long SHARE = 24; // of the memory told: the rest is the program's and what is held whole
+    private static final long KEPT_SHARE = 4; // of those, for what clients send ahead of their turn
 
     private final long bytes;
     private int streams;
+    private long keptBytes; // of what clients send ahead, beyond what each of them may
 
     Budget(int memoryMb) {
         this.bytes = (long) memoryMb * 1024 * 1024 / SHARE;
@@ -34,6 +36,16 @@
         return (int) Math.max(WINDOW_MIN, Math.min(WINDOW_MAX, bytes / Math.max(1, streams + 1)));
     }
 
+    /** Whether more may be kept of what clients send ahead while their requests wait. */
+    boolean keepsMore() {
+        return keptBytes < bytes / KEPT_SHARE;
+    }
+
+    /** So many bytes more are kept of that, or fewer where negative. */
+    void keep(int moreBytes) {
+        keptBytes += moreBytes;
+    }
+
     void began() {
         streams++;
     }
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -367,8 +367,16 @@
                 drop(message);
                 return;
             }
+            if (message instanceof RequestReader.Unreadable
+                    && waiting.peekLast() instanceof RequestReader.Arriving last && !last.body().isWhole()) {
+                drop(waiting.pollLast()); // its end will not come
+            }
             waiting.add(message);
-            next();
+            if (node.lag.ms() > 0 || reader.valve().isGoingOn()) { // it is old, and its client may have left since
+                node.loop.execute(this::next);
+            } else {
+                next();
+            }
             regulate();
         }
 
@@ -393,7 +401,7 @@
         private void regulate() {
             boolean full = reader.arriving() != null && reader.arriving().isFull();
             if (paused || full || waiting.size() >= PIPELINED) {
-                reader.valve().shut(!full); // the client of a request that is whole may leave while it waits
+                reader.valve().shut(!full || upload == null); // whoever waits for an answer may leave
             } else if (reader.valve().isShut()) {
                 reader.resume();
                 reader.valve().open();
@@ -414,6 +422,7 @@
                 } else if (message instanceof RequestReader.Arriving) {
                     RequestReader.Arriving a = (RequestReader.Arriving) message;
                     upload = a.body().isWhole() ? null : a.body();
+                    regulate();
                     handle(a.head(), a.body());
                 } else {
                     handle((HttpRequest) message, RequestBody.held(((FullHttpRequest) message).content()));
@@ -459,6 +468,12 @@
             }, PAUSE_MS, TimeUnit.MILLISECONDS);
         }
 
+        /** Whether the client is there still: what stands in its socket is read before the loop comes to it. */
+        boolean stays() {
+            reader.valve().look();
+            return channel.isOpen();
+        }
+
         void holds(OpenRequest r) {
             current = r;
         }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -401,6 +401,11 @@
         forgetIfOver(r);
     }
 
+    /** Whether a client waits for it: asked before anything is sent, however late the loop comes to its sockets. */
+    boolean isAwaited(OpenRequest r) {
+        return !r.closed() && r.client().stays();
+    }
+
     /** An answer begins that is passed on as it comes; false where the client has its answer or is gone. */
     boolean answerBegun(Attempt a, HttpResponse head) {
         OpenRequest r = a.owner;
@@ -495,6 +500,9 @@
         Attempt a = new Attempt(this, r, host, now);
         r.attempts.add(a);
         r.out++;
+        if (!isAwaited(r)) {
+            clientLeft(r); // no news yet where it is told only by what stands in the socket
+        }
         if (over || r.closed() || r.isWhole() && now >= r.deadlineMs()
                 || a.number >= config.settings().limits().maxAttempts()) {
             attemptEnded(a, Outcome.MOOT, null);
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -44,7 +44,7 @@
     enum Asks { TO_GO_ON, BODY_CAME }
 
     private final Clock clock;
-    private final Valve valve = new Valve();
+    private final Valve valve;
     private final Decoder decoder = new Decoder();
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -63,6 +63,7 @@
     RequestReader(Clock clock, Budget budget, Runnable room) {
         this.clock = clock;
         this.budget = budget;
+        this.valve = new Valve(budget);
         this.room = room;
     }
 
@@ -235,6 +236,15 @@
         return all.addComponent(true, part.retain());
     }
 
+    /** More was sent ahead than is kept: refused, as it may be asked again. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == Valve.Told.CUT_OFF && !over) {
+            refuse(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
     private void refuse(ChannelHandlerContext ctx, HttpResponseStatus status) {
         end();
         ctx.fireChannelRead(new Unreadable(status));
--- a/src/test/java/deckfall/net/LateConnectionTest.java
+++ b/src/test/java/deckfall/net/LateConnectionTest.java
@@ -18,6 +18,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -47,19 +49,24 @@
             return "127.0.0.1:" + listener.getLocalPort();
         }
 
-        /** What a gateway sent first on its connection; nothing where it ended that first. */
-        String first(int bytes) throws IOException {
+        /** What a gateway sent first once what was to happen meanwhile has; nothing where it ended that first. */
+        String first(int bytes, Closeable meanwhile) throws IOException {
             int standing = fillers.size() - 1;
             for (int i = 0; i < standing; i++) {
                 listener.accept().close();
             }
             listener.setSoTimeout(Sockets.PATIENCE_MS);
             try (Socket s = listener.accept()) {
+                meanwhile.close();
                 s.setSoTimeout(Sockets.PATIENCE_MS);
                 return new String(s.getInputStream().readNBytes(bytes), StandardCharsets.US_ASCII);
             }
         }
 
+        String first(int bytes) throws IOException {
+            return first(bytes, () -> { });
+        }
+
         @Override
         public void close() throws IOException {
             listener.close();
@@ -108,4 +115,19 @@
             assertEquals("", late.first(1));
         }
     }
+
+    /** The loop comes to the connection first, and only then to the client that left meanwhile. */
+    @Test
+    void aClientWhoseEndIsUnreadAsTheConnectionComesUpIsNotSentFor() throws Exception {
+        Shut late = kept(new Shut());
+        Node node = nodeWith(entry("h0", late.address(), "ready"));
+        awaitWatches(1);
+        Client c = client(node).send(view("v", Sockets.PATIENCE_MS));
+        awaitCurrent(node, 1);
+        CountDownLatch left = holdLoop(node);
+        assertEquals("", late.first(1, () -> {
+            c.close();
+            left.countDown();
+        }));
+    }
 }
--- a/src/test/java/deckfall/net/LeavingClientTest.java
+++ b/src/test/java/deckfall/net/LeavingClientTest.java
@@ -6,9 +6,13 @@
 import static deckfall.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Server;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -105,4 +109,156 @@
             assertEquals("for v" + i + " ", c.receive().text());
         }
     }
+
+    private static String views(int bytes) {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; all.length() < bytes; i++) {
+            all.append(view("v" + i, TIME));
+        }
+        return all.toString();
+    }
+
+    /** With more than 4 KiB unread behind the request that waits its client's end was not seen. */
+    @Test
+    void behindALotThatWasSentAhead() throws Exception {
+        Node node = nodeWith();
+        awaitWatches(1);
+        Client c = client(node).send(views(100_000));
+        awaitCurrent(node, 1);
+        c.close();
+        awaitCurrent(node, 0);
+        Figures.Ended views = node.figures().classes().get(0);
+        assertEquals(List.of(0L, 1L), List.of(views.deferred(), views.errored()), "refused when its time was up");
+        assertOnlyOthersAreServed(node, 1);
+    }
+
+    /** Nor is it where more stands unread than is kept of one client: that is read away before an attempt begins. */
+    @Test
+    void behindMoreThanIsKeptOfWhatWasSentAhead() throws Exception {
+        Node node = nodeWith();
+        awaitWatches(1);
+        Client c = client(node).send(views(250_000));
+        awaitCurrent(node, 1);
+        c.close();
+        assertOnlyOthersAreServed(node, 1);
+        awaitCurrent(node, 0);
+    }
+
+    /** Behind a request that waits a long body is no reason to stop reading: its client may leave, too. */
+    @Test
+    void behindALongBodyThatWasSentAhead() throws Exception {
+        Node node = nodeWith();
+        awaitWatches(1);
+        String order = Sockets.order("o", "x".repeat(200_000));
+        Client c = client(node).send(view("v", TIME) + order);
+        awaitCurrent(node, 1);
+        c.close();
+        assertOnlyOthersAreServed(node, 1);
+        awaitCurrent(node, 0);
+    }
+
+    /** What was kept is served in its order; what came beyond is refused, and the connection ends. */
+    @Test
+    void whoStaysBehindMoreThanIsKeptIsServedWhatWasKept() throws Exception {
+        Node node = nodeWith();
+        awaitWatches(1);
+        Client c = client(node).send(views(250_000));
+        awaitCurrent(node, 1);
+        Server host = host(SocketTest::echo);
+        registry.news.add(list(9, false, entry("late", host.address(), "ready")));
+        int served = 0;
+        Message answer = c.receive();
+        for (; answer.status() == 200; answer = c.receive()) {
+            assertEquals("for v" + served + " ", answer.text());
+            served++;
+        }
+        assertTrue(served > 128 * 1024 / view("v9999", TIME).length(), "only " + served);
+        assertEquals(503, answer.status());
+        assertEquals("close", answer.header("Connection"));
+        assertNull(c.receive());
+    }
+
+    /** Its request would be sent on to a host that waits for its end. */
+    @Test
+    void aLongBodyThatIsCutOffBehindOtherRequestsReachesNoHost() throws Exception {
+        registry = kept(new Sockets.Registry(list(1, true)));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"memory_mb\": 192", "\"memory_mb\": 1"));
+        ends.push(node::stop);
+        awaitWatches(1);
+        String ahead = "";
+        for (int i = 0; i < 16; i++) {
+            ahead += view("v" + i, TIME);
+        }
+        Client c = client(node).send(ahead + Sockets.order("o", "x".repeat(200_000)));
+        awaitCurrent(node, 1);
+        Server host = host(SocketTest::echo);
+        registry.news.add(list(9, false, entry("late", host.address(), "ready")));
+        for (int i = 0; i < 16; i++) {
+            assertEquals("for v" + i + " ", c.receive().text());
+        }
+        assertEquals(503, c.receive().status());
+        assertEquals(16, host.asked.size());
+    }
+
+    /** Whatever brings the attempt about (a timer, an answer, a word of a peer), the loop may be late to the socket. */
+    @Test
+    void itsEndStandsInItsSocketAsAnAttemptBegins() throws Exception {
+        Server host = host(SocketTest::echo);
+        Node node = nodeBefore(host);
+        awaitWatches(1);
+        assertEquals("for u ", client(node).send(view("u", TIME)).receive().text());
+        double rested = node.clock.now() + 50; // its connection may carry the next
+        registry.news.add(list(8, false, entry("h0", host.address(), "draining")));
+        awaitWatches(2);
+        Client c = client(node).send(view("v", TIME));
+        awaitCurrent(node, 1);
+        awaitClock(node, rested);
+        node.loop.submit(() -> {
+            c.close();
+            node.send("v", "h0", 0);
+            return null;
+        }).sync();
+        awaitCurrent(node, 0);
+        registry.news.add(list(9, false, entry("h0", host.address(), "ready")));
+        awaitWatches(3);
+        assertEquals("for w ", client(node).send(view("w", TIME)).receive().text());
+        assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
+    }
+
+    /** The request and its client's end were read one after the other, and the attempt began between the two. */
+    @Test
+    void itsRequestAndItsEndStoodInItsSocketWhileTheLoopWasBusy() throws Exception {
+        Server host = host(SocketTest::echo);
+        Node node = nodeBefore(host);
+        Client other = client(node);
+        assertEquals("for u ", other.send(view("u", TIME)).receive().text());
+        Client c = client(node).send("GET /healthz HTTP/1.1\r\n\r\n");
+        assertEquals(200, c.receive().status());
+        CountDownLatch left = holdLoop(node);
+        c.send(view("v", TIME)).close();
+        awaitClock(node, node.clock.now() + 200);
+        left.countDown();
+        assertEquals("for w ", other.send(view("w", TIME)).receive().text());
+        assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
+    }
+
+    /** What was kept in a pause comes from a client that may have left behind more that was not kept. */
+    @Test
+    void inThePauseAfterBadRequestsBehindMoreThanIsKept() throws Exception {
+        Server host = host(SocketTest::echo);
+        Node node = nodeBefore(host);
+        assertEquals("for u ", client(node).send(view("u", TIME)).receive().text());
+        String bad = view("b", TIME).replace("units=1", "units=x");
+        Client c = client(node).send(bad + bad);
+        assertEquals(400, c.receive().status());
+        assertEquals(400, c.receive().status());
+        double over = node.clock.now() + 500;
+        CountDownLatch left = holdLoop(node);
+        c.send(views(250_000)).close();
+        left.countDown();
+        awaitClock(node, over);
+        assertEquals("for w ", client(node).send(view("w", TIME)).receive().text());
+        assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
+    }
 }
--- a/src/test/java/deckfall/net/SocketTest.java
+++ b/src/test/java/deckfall/net/SocketTest.java
@@ -17,6 +17,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -100,6 +101,28 @@
         return kept(new Client(node));
     }
 
+    /** Keeps the node's event loop busy until the latch is counted down. */
+    static CountDownLatch holdLoop(Node node) throws InterruptedException {
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        node.loop.execute(() -> {
+            busy.countDown();
+            try {
+                released.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertTrue(busy.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        return released;
+    }
+
+    static void awaitClock(Node node, double ms) {
+        while (node.clock.now() < ms) {
+            Thread.onSpinWait();
+        }
+    }
+
     static void awaitCurrent(Node node, long count) throws Exception {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
         while (node.figures().current() != count) {
