Send a long body's last bytes on only once its client is known to be there

Seen: in a test. A body on its way (over 64 KiB, or announced as such) and its client's end stood in the socket together; the body was passed on to its last byte before the end was read. A host starts a request with its last byte, so that was an attempt for a client that had left.

At fault: RequestReader.pass, which ended the body in the middle of the read. Ruled out: bodies that are held, for which the look before the attempt is enough.

Now the last part follows in the loop's next task, behind another look at the socket. Noise right behind such a body still has its turn after the answer; its test fails if that part is taken out.

LeavingClientTest.rightBehindALongBody fails without the change: the host got the whole request.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -356,7 +356,7 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            boolean broken = message instanceof RequestReader.Unreadable && upload != null; // its end can't be found
+            boolean broken = message instanceof RequestReader.Unreadable && upload != null && !upload.isComplete(); // its end can't be found
             if (broken && (source != null || !busy)) { // and its answer is given, or on its way
                 channel.close();
             } else if (broken) {
@@ -368,7 +368,7 @@
                 return;
             }
             if (message instanceof RequestReader.Unreadable
-                    && waiting.peekLast() instanceof RequestReader.Arriving last && !last.body().isWhole()) {
+                    && waiting.peekLast() instanceof RequestReader.Arriving last && !last.body().isComplete()) {
                 drop(waiting.pollLast()); // its end will not come
             }
             waiting.add(message);
--- a/src/main/java/deckfall/net/RequestBody.java
+++ b/src/main/java/deckfall/net/RequestBody.java
@@ -18,6 +18,7 @@
     private final Runnable room;
     private final ArrayDeque<ByteBuf> parts = new ArrayDeque<>();
     private int bytes;
+    private boolean come;
     private boolean whole;
     private boolean discarded;
     private Sink sink;
@@ -65,6 +66,16 @@
         tell();
     }
 
+    /** Its last part has come, and follows once it is known that the client has not left. */
+    void hasCome() {
+        come = true;
+    }
+
+    /** Whether nothing more has to come of it. */
+    boolean isComplete() {
+        return come || whole;
+    }
+
     void end() {
         whole = true;
         tell();
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -207,18 +207,32 @@
             refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        arriving.add(content.content().retain());
-        if (arriving.isFull()) {
-            valve.shut(false); // at once: more may stand in the socket
-        }
+        ByteBuf part = content.content().retain();
         if (content instanceof LastHttpContent) {
-            RequestBody ended = arriving;
+            RequestBody come = arriving;
             arriving = null;
             head = null;
             bodyTotal = 0;
             since = decoder.leftOver() ? clock.now() : NONE;
-            ended.end();
+            come.hasCome();
+            ctx.executor().execute(() -> end(ctx, come, part));
+            return;
+        }
+        arriving.add(part);
+        if (arriving.isFull()) {
+            valve.shut(false); // at once: more may stand in the socket
+        }
+    }
+
+    /** A host starts a request with its last byte, so the client's end, which may stand behind it, is read first. */
+    private void end(ChannelHandlerContext ctx, RequestBody come, ByteBuf part) {
+        valve.look();
+        if (ctx.channel().isOpen()) {
+            come.add(part);
+            come.end();
             ctx.fireUserEventTriggered(Asks.BODY_CAME);
+        } else {
+            part.release();
         }
     }
 
--- a/src/test/java/deckfall/net/ClientReadingTest.java
+++ b/src/test/java/deckfall/net/ClientReadingTest.java
@@ -276,4 +276,15 @@
         assertEquals("5", host.next().header("Content-Length"));
         assertEquals("for p b", c.send(order("p", "b")).receive().text());
     }
+
+    /** Bytes that can't be read behind a long body have their turn behind its answer. */
+    @Test
+    void noiseRightBehindALongBodyEndsTheConnectionAfterItsAnswer() throws Exception {
+        Client c = client(nodeBefore(host(SocketTest::echo)));
+        String body = "x".repeat(100_000);
+        c.send(order("o", body) + "noise\r\n\r\n");
+        assertEquals("for o " + body, c.receive().text());
+        assertEquals(400, c.receive().status());
+        assertNull(c.receive());
+    }
 }
--- a/src/test/java/deckfall/net/LeavingClientTest.java
+++ b/src/test/java/deckfall/net/LeavingClientTest.java
@@ -261,4 +261,21 @@
         assertEquals("for w ", client(node).send(view("w", TIME)).receive().text());
         assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
     }
+
+    /** A body on its way was passed on to its last byte, with which its attempt begins, before its client's end. */
+    @Test
+    void rightBehindALongBody() throws Exception {
+        Server host = host(SocketTest::echo);
+        Node node = nodeBefore(host);
+        Client other = client(node);
+        assertEquals("for u ", other.send(view("u", TIME)).receive().text());
+        double rested = node.clock.now() + 50;
+        awaitClock(node, rested);
+        CountDownLatch left = holdLoop(node);
+        client(node).send(Sockets.order("o", "x".repeat(100_000))).close();
+        left.countDown();
+        assertNotNull(host.ended.poll(TIME, TimeUnit.MILLISECONDS)); // what had begun was given up
+        assertEquals("for w ", other.send(view("w", TIME)).receive().text());
+        assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
+    }
 }
