End a client's connection by its output first and read away what still comes for 300 ms

Seen: in tests. A client with most of its answer still on the way lost it ("Connection reset") where bytes came behind the last request, or where its next request crossed the close of its resting connection at a planned stop. A close over unread bytes, or bytes that come to a closed socket, reset the connection, and what the system holds for the client goes with it.

At fault: ClientServer.over, giveUp, closeOnceTaken, closeUnfinished and bodyCame: channel.close() right behind the answer. Ruled out: small writes held back, TCP_NODELAY is set on both sides. A request read after the end is handed on nowhere: three checks hold that, and a test forces it.

Connections that only linger give way before all others where descriptors run short; what is closed for room still closes at once.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -5,11 +5,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -43,6 +43,7 @@
     private static final int ASKED_ONCE = 1; // requests on a connection that need not bring another
     private static final int FAULTS = 2; // bad requests on a connection, from which it is read only now and then
     private static final long PAUSE_MS = 200; // such a connection is not read for so long after each
+    private static final long LINGER_MS = 300; // for the client's end, behind the last answer; shorter than an exit may take
     private static final double MS_PER_SECOND = 1000;
     private static final String READY = "/healthz";
 
@@ -52,6 +53,7 @@
     private final LinkedHashSet<Connection> unused = new LinkedHashSet<>(); // no whole request came yet
     private final LinkedHashSet<Connection> casual = new LinkedHashSet<>(); // idle, asked once or for health alone
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // those that ask again and again
+    private final LinkedHashSet<Connection> lingering = new LinkedHashSet<>(); // their output has ended
     /** Who gives way first; in each set the one stands first that has sent nothing for longest. */
     private final List<LinkedHashSet<Connection>> givingWay = List.of(unused, casual, idle);
     private Channel listener;
@@ -144,6 +146,12 @@
      * in use never, and one whose head comes slowly only after all that have stopped. A crowd whose connections come and go must not push out those that bring most of the requests.
      */
     private boolean makeRoom() {
+        if (!lingering.isEmpty()) {
+            Connection c = first(lingering);
+            c.leave();
+            c.channel.close();
+            return true;
+        }
         for (LinkedHashSet<Connection> from : givingWay) {
             for (Connection c = first(from); c != null; c = first(from)) {
                 if (giveUp(c, from, true)) {
@@ -164,9 +172,11 @@
         boolean free = c.whole == before && c.reader.reads() == reads && (forced || !c.reader.unfinished())
                 && (c.spared || !c.owes());
         c.spared |= c.owes();
-        if (free) {
+        if (free && forced) {
             c.leave(); // now, as its end is told only later
             c.channel.close();
+        } else if (free) {
+            c.closeGently();
         } else {
             from.remove(c); // it is being asked something, or just was and answered at once
             if (c.whole > before || c.owes()) {
@@ -225,10 +235,31 @@
             if (!busy && !ended && owes() && waiting.isEmpty() && !reader.valve().holds() && !reader.unfinished()) {
                 ended = true;
                 leavePlace();
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                closeOnce(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
             }
         }
 
+        private void closeOnce(ChannelFuture written) {
+            written.addListener(f -> closeGently());
+        }
+
+        /**
+         * Ends the output alone, and reads away what still comes until the client ends its side or for a short while: a
+         * close over unread bytes resets the connection, and what the client has not taken yet goes with it.
+         */
+        private void closeGently() {
+            ended = true;
+            leavePlace();
+            if (!channel.isActive() || !(channel instanceof SocketChannel)) {
+                channel.close();
+                return;
+            }
+            lingering.add(this);
+            reader.valve().discard();
+            ((SocketChannel) channel).shutdownOutput();
+            node.loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        }
+
         private void closeUnfinished() {
             if (busy || ended || owes()) {
                 return; // it ends with its answer
@@ -237,13 +268,13 @@
                 Transport.readNow(channel); // the end may have come since
             }
             if (!busy && !ended && !owes()) {
-                leave();
-                channel.close();
+                closeGently();
             }
         }
 
         private void leave() {
             connections.remove(this);
+            lingering.remove(this);
             leavePlace();
         }
 
@@ -333,7 +364,7 @@
             }
             upload = null;
             if (ended) {
-                channel.close(); // it was answered before
+                closeGently(); // it was answered before
             } else if (current != null) {
                 node.whole(current);
             } else {
@@ -357,8 +388,10 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             boolean broken = message instanceof RequestReader.Unreadable && upload != null && !upload.isComplete(); // its end can't be found
-            if (broken && (source != null || !busy)) { // and its answer is given, or on its way
+            if (broken && source != null) { // and its answer is on its way
                 channel.close();
+            } else if (broken && !busy) { // and its answer is given
+                closeGently();
             } else if (broken) {
                 giveUpUpload();
                 busy = false;
@@ -585,7 +618,7 @@
             if (ended) {
                 ChannelFuture written = channel.writeAndFlush(end);
                 if (upload == null) {
-                    written.addListener(ChannelFutureListener.CLOSE);
+                    closeOnce(written);
                 }
                 return;
             }
--- a/src/main/java/deckfall/net/Valve.java
+++ b/src/main/java/deckfall/net/Valve.java
@@ -97,6 +97,19 @@
         }
     }
 
+    /** From now on what comes is read away. */
+    void discard() {
+        cut = true;
+        forget();
+        ctx.channel().config().setAutoRead(true);
+    }
+
+    private void forget() {
+        kept.forEach(ByteBuf::release);
+        kept.clear();
+        count(-bytes);
+    }
+
     private boolean hasRoom() {
         return bytes < AHEAD_MIN || bytes < AHEAD_MAX && budget.keepsMore();
     }
@@ -172,9 +185,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        kept.forEach(ByteBuf::release);
-        kept.clear();
-        count(-bytes);
+        forget();
         context.fireChannelInactive();
     }
 }
