Force half a line of a host in the moment in which its connection is taken

Looked for in the code and forced in a test; it was right. Bytes that stand unread on a resting connection as the next request takes it (half a status line, a lone CR, a whole second answer) close it: HostConnection.ready reads first.

--- a/src/test/java/deckfall/net/HostAnswersTest.java
+++ b/src/test/java/deckfall/net/HostAnswersTest.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -151,4 +152,26 @@
         assertEquals(List.of(), restsMs.stream().filter(ms -> ms < 10).toList());
         assertFalse(restsMs.isEmpty(), "none was used again");
     }
+
+    /** It stands unread in its socket, and the loop comes to the request first. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 2", "\r", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"})
+    void whatComesAsItsConnectionIsTakenReachesNobody(String unasked) throws Exception {
+        Queue<Socket> used = new ConcurrentLinkedQueue<>();
+        Server host = host((m, s) -> {
+            used.add(s);
+            echo(m, s);
+        });
+        Node node = nodeBefore(host);
+        Client c = client(node);
+        assertEquals("for v ", c.send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        awaitClock(node, node.clock.now() + 50); // it may carry the next request now
+        CountDownLatch come = holdLoop(node);
+        c.send(order("o", "b"));
+        used.element().getOutputStream().write(bytes(unasked));
+        come.countDown();
+        assertEquals("for o b", c.receive().text());
+        assertEquals(2, host.asked.size());
+        assertEquals(2, Set.copyOf(used).size());
+    }
 }
