Reset the connection where an answer breaks whose length only that connection's end tells

Seen: in a test. A client of HTTP/1.0 that gets an answer of untold length as it comes saw a plain end of the connection where the host's answer broke off: half an answer looked whole.

At fault: ClientServer.Connection.end(false), and the two other places that end a connection inside an answer: channel.close(). Ruled out: answers with a length or in chunks, which tell it.

StreamingTest.anAnswerOfUntoldLengthThatBreaksOnItsWayIsReset fails without the change.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -198,6 +198,7 @@
         private Attempt source; // of an answer on its way
         private boolean chunks; // the client reads a body in chunks
         private boolean closes; // the answer on its way is the last
+        private boolean unframed; // and only the connection's end tells that it is whole
         private double takenAt; // when the client last took some of it
         private boolean busy;
         private boolean keepAlive = true;
@@ -334,8 +335,7 @@
             }
             keepAlive = false;
             if (source != null || upload != null && !busy) { // it was answered, and only its rest did not come
-                leave();
-                channel.close();
+                breakOff();
             } else if (upload != null) {
                 giveUpUpload();
                 answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
@@ -389,7 +389,7 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             boolean broken = message instanceof RequestReader.Unreadable && upload != null && !upload.isComplete(); // its end can't be found
             if (broken && source != null) { // and its answer is on its way
-                channel.close();
+                breakOff();
             } else if (broken && !busy) { // and its answer is given
                 closeGently();
             } else if (broken) {
@@ -536,7 +536,8 @@
             } else if (chunks) {
                 to.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             }
-            closes = isLast() || length < 0 && !chunks;
+            unframed = length < 0 && !chunks;
+            closes = isLast() || unframed;
             if (closes) {
                 to.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
@@ -576,11 +577,19 @@
             } else {
                 current = null;
                 ended = true;
-                leave();
-                channel.close();
+                breakOff();
             }
         }
 
+        /** Ends the connection inside an answer. Where its end alone would tell that the answer is whole, by a reset. */
+        private void breakOff() {
+            leave();
+            if (unframed && channel instanceof SocketChannel) {
+                ((SocketChannel) channel).config().setSoLinger(0);
+            }
+            channel.close();
+        }
+
         void answer(HttpResponseStatus status, double retryAfterMs) {
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                     Unpooled.EMPTY_BUFFER);
--- a/src/test/java/deckfall/net/StreamingTest.java
+++ b/src/test/java/deckfall/net/StreamingTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.net.Sockets.Client;
@@ -183,6 +184,24 @@
         assertEquals(1, node.loop.submit(() -> node.tally().classes().get(0).errored()).get());
     }
 
+    /** Where only the connection's end tells that an answer is whole, a broken one ends by a reset. */
+    @Test
+    void anAnswerOfUntoldLengthThatBreaksOnItsWayIsReset() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        Server host = host((m, s) -> {
+            s.getOutputStream().write(bytes(OK + "Transfer-Encoding: chunked\r\n\r\n40000\r\n"));
+            s.getOutputStream().write(content(0x40000));
+            begun.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            s.close();
+        });
+        Client c = client(nodeBefore(host));
+        c.send(view("v", Sockets.PATIENCE_MS).replace("HTTP/1.1", "HTTP/1.0"));
+        assertTrue(head(c.socket.getInputStream()).startsWith("HTTP/1.1 200"));
+        assertEquals(0x40000, c.socket.getInputStream().readNBytes(0x40000).length);
+        begun.countDown();
+        assertThrows(IOException.class, () -> c.socket.getInputStream().read());
+    }
+
     /** A length that is a lie once got the host's answer to the client, and nobody else was asked. */
     @Test
     void anAnswerThatOnlyAnnouncesToBeLongIsMadeElsewhere() throws Exception {
