End gently, too, where the rest of a body that was answered already stops coming

Seen in the code: ClientServer.timeOut closed at once behind an answer that may still be on its way; a reset takes it along. It ends by its output first now, as everywhere else; the answer that breaks stays a break. No test of its own: the path is ClosingTest's closeGently.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -250,6 +250,7 @@
          */
         private void closeGently() {
             ended = true;
+            upload = null;
             leavePlace();
             if (!channel.isActive() || !(channel instanceof SocketChannel)) {
                 channel.close();
@@ -334,8 +335,10 @@
                 return;
             }
             keepAlive = false;
-            if (source != null || upload != null && !busy) { // it was answered, and only its rest did not come
+            if (source != null) {
                 breakOff();
+            } else if (upload != null && !busy) { // it was answered, and only its rest did not come
+                closeGently();
             } else if (upload != null) {
                 giveUpUpload();
                 answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
