Hold in a test that nothing is sent for a client that left while its keeper was asked

Looked for in the module and right: a request that waits for a keeper's answer, or in its queue for a further attempt, is dropped as its client leaves.

--- a/src/test/java/deckfall/GuardsTest.java
+++ b/src/test/java/deckfall/GuardsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import deckfall.Gateway.*;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -50,6 +51,39 @@
         assertEquals(0, g.answers("r"));
     }
 
+    /** While its keeper has been asked, and while it waits for a further attempt. */
+    @Test
+    void nothingIsSentForAClientThatLeftWhileAnAnswerWasDue() {
+        for (boolean left : List.of(false, true)) {
+            FakeGateway g = new FakeGateway(1000, FakeGateway.settings(0, 2)).withHosts("a1");
+            for (int i = 0; i < 20; i++) { // of some of these customers the other gateway keeps the books
+                g.ask("r" + i, "read", "small", i, 10, 2);
+            }
+            List<String> asked = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                if (g.sends("r" + i) == 0 && g.answers("r" + i) == 0) {
+                    asked.add("r" + i);
+                }
+            }
+            assertFalse(asked.isEmpty());
+            if (left) {
+                asked.forEach(id -> g.brain.clientLeft(g.now, id));
+            }
+            g.pass(2000); // no keeper answers: the own part decides
+            assertEquals(left, asked.stream().allMatch(id -> g.sends(id) == 0 && g.answers(id) == 0));
+            FakeGateway h = FakeGateway.alone().withHosts("a1");
+            h.ask("p", "read");
+            h.brain.hosts(h.now, ListKind.CHANGES, List.of(new Host("a1", "a", "std", 0, HostState.DRAINING, 1, 0)));
+            h.end("p", 0, Outcome.FULL, 10);
+            assertEquals(1, h.sends("p"));
+            if (left) {
+                h.brain.clientLeft(h.now, "p");
+            }
+            h.withHosts("a2").pass(2000);
+            assertEquals(left ? 1 : 2, h.sends("p"));
+        }
+    }
+
     @Test
     void unsafeWorkIsNeverRepeatedOnceItMayHaveRun() {
         for (Outcome outcome : List.of(Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT, Outcome.CANCELLED)) {
