--- a/src/test/java/deckfall/net/LeavingClientTest.java
+++ b/src/test/java/deckfall/net/LeavingClientTest.java
@@ -110,6 +110,12 @@
         }
     }
 
+    /** Besides "u", which came before, the host is asked only what a client asks that stays. */
+    private static void assertAskedOnlyThese(Server host, Client stays) throws Exception {
+        assertEquals("for w ", stays.send(view("w", TIME)).receive().text());
+        assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
+    }
+
     private static String views(int bytes) {
         StringBuilder all = new StringBuilder();
         for (int i = 0; all.length() < bytes; i++) {
@@ -132,29 +138,27 @@
         assertOnlyOthersAreServed(node, 1);
     }
 
-    /** Nor is it where more stands unread than is kept of one client: that is read away before an attempt begins. */
-    @Test
-    void behindMoreThanIsKeptOfWhatWasSentAhead() throws Exception {
+    /** Nothing tells that it has left before the attempt of its first request is to begin. */
+    private void assertNoAttemptOnceItLeft(String sent) throws Exception {
         Node node = nodeWith();
         awaitWatches(1);
-        Client c = client(node).send(views(250_000));
+        Client c = client(node).send(sent);
         awaitCurrent(node, 1);
         c.close();
         assertOnlyOthersAreServed(node, 1);
         awaitCurrent(node, 0);
     }
 
+    /** Nor is it where more stands unread than is kept of one client: that is read away before an attempt begins. */
+    @Test
+    void behindMoreThanIsKeptOfWhatWasSentAhead() throws Exception {
+        assertNoAttemptOnceItLeft(views(250_000));
+    }
+
     /** Behind a request that waits a long body is no reason to stop reading: its client may leave, too. */
     @Test
     void behindALongBodyThatWasSentAhead() throws Exception {
-        Node node = nodeWith();
-        awaitWatches(1);
-        String order = Sockets.order("o", "x".repeat(200_000));
-        Client c = client(node).send(view("v", TIME) + order);
-        awaitCurrent(node, 1);
-        c.close();
-        assertOnlyOthersAreServed(node, 1);
-        awaitCurrent(node, 0);
+        assertNoAttemptOnceItLeft(view("v", TIME) + Sockets.order("o", "x".repeat(200_000)));
     }
 
     /** What was kept is served in its order; what came beyond is refused, and the connection ends. */
@@ -222,8 +226,7 @@
         awaitCurrent(node, 0);
         registry.news.add(list(9, false, entry("h0", host.address(), "ready")));
         awaitWatches(3);
-        assertEquals("for w ", client(node).send(view("w", TIME)).receive().text());
-        assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
+        assertAskedOnlyThese(host, client(node));
     }
 
     /** The request and its client's end were read one after the other, and the attempt began between the two. */
@@ -239,8 +242,7 @@
         c.send(view("v", TIME)).close();
         awaitClock(node, node.clock.now() + 200);
         left.countDown();
-        assertEquals("for w ", other.send(view("w", TIME)).receive().text());
-        assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
+        assertAskedOnlyThese(host, other);
     }
 
     /** What was kept in a pause comes from a client that may have left behind more that was not kept. */
@@ -258,8 +260,7 @@
         c.send(views(250_000)).close();
         left.countDown();
         awaitClock(node, over);
-        assertEquals("for w ", client(node).send(view("w", TIME)).receive().text());
-        assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
+        assertAskedOnlyThese(host, client(node));
     }
 
     /** A body on its way was passed on to its last byte, with which its attempt begins, before its client's end. */
@@ -275,7 +276,6 @@
         client(node).send(Sockets.order("o", "x".repeat(100_000))).close();
         left.countDown();
         assertNotNull(host.ended.poll(TIME, TimeUnit.MILLISECONDS)); // what had begun was given up
-        assertEquals("for w ", other.send(view("w", TIME)).receive().text());
-        assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
+        assertAskedOnlyThese(host, other);
     }
 }
