Hold others' open attempts for a time that follows the set's size and the attempts' time

From the settings: if each gateway of the set let in one as often as a word is held, these should take half of the limit on the mean, so the time is twice the set's size x an attempt's time over the limit.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -26,7 +26,7 @@
     private static final double LAG_MS = 60; // a told figure's age on arrival: half a gap and the way
     private static final double METER_LAG_MS = 1300; // a metered figure's age: half its period and the way
     private static final double METER_KEPT_MS = 20_000; // a metered figure this old tells nothing any more
-    private static final double PEAK_KEPT_MS = 12_000; // a metered peak of attempts out holds so long
+    private static final double PEAK_TURNS = 2; // attempts' times for each of a set's gateways: a peak holds
     private static final double SPARE = 2; // times its units in the store, where no word of others is fresh
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
     // Keepers and tells
@@ -507,7 +507,7 @@
         int limit = c.plan.openLimit();
         boolean fresh = c.spread == 1 || (set.limits().peers()
                 ? keeper(now, c, 0) == set.me() || now - c.newsAt < FRESH_MS
-                : c.plan.rate() <= 0 && now - c.meterAt < PEAK_KEPT_MS);
+                : now < c.peakTill);
         return limit <= 0 || (fresh ? c.open + c.othersOpen < limit
                 : c.open < Math.max(1, (int) (limit * part(now, c))));
     }
@@ -533,7 +533,8 @@
         c.ceiling -= ceilingUnits;
     }
 
-    private void meter(double now, Customer c, int usedPct) {
+    private void meter(double now, Ask ask, int usedPct) {
+        Customer c = ask.customer;
         if (usedPct <= 0 || !metered()) return;
         if (c.plan.rate() <= 0) { // it tells the most attempts out at once of late, in percent of their limit
             touch(now, c);
@@ -541,6 +542,8 @@
             c.othersOpen = c.spread == 1 ? 0 : (int) Math.max(0, Math.round(peak - c.openPeak));
             c.meterPart = 1.0 / c.spread;
             c.meterAt = now;
+            // So long that if each gateway then let in one, these would be half of the limit on the mean.
+            c.peakTill = now + PEAK_TURNS * c.spread * ask.work() / c.plan.openLimit();
             return;
         }
         double total = (usedPct - 1) / 100.0 * c.plan.rate();
@@ -1212,7 +1215,7 @@
             aimShareSum += r.latencyMs() / c.spec.aimMs();
             answers++;
         }
-        if (ask.customer != null) meter(now, ask.customer, r.usedPct());
+        if (ask.customer != null) meter(now, ask, r.usedPct());
     }
 
     private void watchHealth(double now) {
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -120,6 +120,7 @@
         double useRate;
         int open;
         double openPeak; // most open here at once of late; fades
+        double peakTill = NEVER; // so long the meter's word on what others have open holds
 
         Customer(long id, int planNumber, Plan plan, int first, int spread, int[] keepers, double now) {
             this.id = id;
--- a/src/test/java/deckfall/MeterTest.java
+++ b/src/test/java/deckfall/MeterTest.java
@@ -35,7 +35,7 @@
     void whatOthersHadOutIsForgottenAfterAWhile() {
         ask("first", "open", 1);
         answered("first", 150);
-        g.pass(12_100);
+        g.pass(5100);
         ask("second", "open", 1);
         assertEquals(List.of(), g.refused);
     }
