Add the command scale: what a gateway costs by the size of its fleet

Cause: nothing told what lists, changes, idle seconds, requests, tenants and peers cost at sizes that no test or bench plays.

Change: deckfall.scale builds hollow gateways (the real module, the real reading of lists, the real messages) on a simulated clock, before stand-ins written from the protocol's page; the second of two rounds is told, and rounds whose counts differ fail the run. scale process measures a real process over loopback.

Tests: bad options end with one line and 2; the same seed gives the same counts; JSON; memory's bound; stand-ins; allocated bytes of lists, changes and idle seconds held at today's slope; a request's not growing from 1,000 to 8,000 hosts; messages of 40 and 100 gateways; a serving process loads nothing of it (failed with a call to the package in Main's branch of serve, seen).

--- /dev/null
+++ b/src/main/java/deckfall/scale/Figures.java
@@ -0,0 +1,82 @@
+package deckfall.scale;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** The figures of a run, in the order in which they were got, and how they are printed. */
+final class Figures {
+    private static final double NANOS_PER_MS = 1e6;
+    private static final double NANOS_PER_US = 1e3;
+
+    private final List<Figure> all = new ArrayList<>();
+    private final int hosts;
+
+    Figures(int hosts) {
+        this.hosts = hosts;
+    }
+
+    List<Figure> all() {
+        return List.copyOf(all);
+    }
+
+    /** The counts alone, which two rounds of one seed must share. */
+    List<Figure> counts() {
+        return all.stream().filter(Figure::count).toList();
+    }
+
+    void count(String name, double value, String unit) {
+        all.add(new Figure(hosts, name, value, unit, true));
+    }
+
+    void measured(String name, double value, String unit) {
+        all.add(new Figure(hosts, name, value, unit, false));
+    }
+
+    void ms(String name, double nanos) {
+        measured(name, nanos / NANOS_PER_MS, "ms");
+    }
+
+    void us(String name, double nanos) {
+        measured(name, nanos / NANOS_PER_US, "us");
+    }
+
+    /** One line a figure. */
+    static String text(List<Figure> figures) {
+        StringBuilder text = new StringBuilder();
+        for (Figure f : figures) {
+            text.append(String.format(Locale.ROOT, "hosts=%-7d %-34s %16s %s%n", f.hosts(), f.name(),
+                    value(f.value()), f.unit()));
+        }
+        return text.toString();
+    }
+
+    private static String value(double v) {
+        return String.format(Locale.ROOT, v == Math.rint(v) && Math.abs(v) < 1e15 ? "%.0f" : "%.4f", v);
+    }
+
+    /** One JSON object: the options as they were understood, the flags of this process, the figures. */
+    static String json(Map<String, ?> options, List<Figure> figures) {
+        ObjectMapper mapper = new ObjectMapper();
+        ObjectNode root = mapper.createObjectNode();
+        root.set("options", mapper.valueToTree(options));
+        root.put("java", System.getProperty("java.vm.version"));
+        root.set("flags", mapper.valueToTree(ManagementFactory.getRuntimeMXBean().getInputArguments()));
+        var list = root.putArray("figures");
+        for (Figure f : figures) {
+            list.addObject().put("hosts", f.hosts()).put("name", f.name()).put("value", f.value())
+                    .put("unit", f.unit()).put("count", f.count());
+        }
+        try {
+            return mapper.writerWithDefaultPrettyPrinter().writeValueAsString(root);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/deckfall/scale/HollowGateway.java
@@ -0,0 +1,96 @@
+package deckfall.scale;
+
+import deckfall.Brain;
+import deckfall.Gateway.Events;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.ListKind;
+import deckfall.Gateway.Settings;
+import deckfall.net.HostLists;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+
+/** The real module and the real reading of lists without sockets: each event is told alone, and measured. */
+final class HollowGateway {
+    /** Something that the module is told. */
+    interface Event {
+        void tell(Events module);
+    }
+
+    /** What one event cost. */
+    private long nanos;
+    private long bytes;
+    private long wallNanos;
+
+    final int number;
+    final String zone;
+    private final Outbox outbox = new Outbox();
+    private final Brain module = new Brain(outbox);
+    private final Outbox.Carrier carrier;
+
+    HollowGateway(Settings settings, Outbox.Carrier carrier) {
+        this.number = settings.me();
+        this.zone = settings.zone();
+        this.carrier = carrier;
+    }
+
+    /** Tells the module, then carries out what it did; {@code cost} is the kind that the event belongs to. */
+    void tell(EventCost cost, Event event) {
+        measure(cost, () -> event.tell(module));
+        outbox.empty(carrier);
+    }
+
+    /** Reads an answer of discovery and tells the module: one event of the loop, as in the real gateway. */
+    void tellHosts(EventCost reading, EventCost telling, EventCost both, double nowMs, byte[] text) {
+        List<Host>[] hosts = rowOfOne();
+        ListKind[] kind = new ListKind[1];
+        measure(reading, () -> {
+            HostLists list = read(text);
+            hosts[0] = list.hosts();
+            kind[0] = list.full() ? ListKind.FULL : ListKind.CHANGES;
+        });
+        long readNanos = nanos;
+        long readBytes = bytes;
+        long readWall = wallNanos;
+        tell(telling, m -> m.hosts(nowMs, kind[0], hosts[0]));
+        both.add(readNanos + nanos, readBytes + bytes, readWall + wallNanos);
+    }
+
+    @SuppressWarnings("unchecked")
+    private static List<Host>[] rowOfOne() {
+        return (List<Host>[]) new List<?>[1];
+    }
+
+    private static HostLists read(byte[] text) {
+        try {
+            return HostLists.read(new ByteArrayInputStream(text));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e); // the stand-in's own text
+        }
+    }
+
+    private void measure(EventCost cost, Runnable work) {
+        long wall = System.nanoTime();
+        long allocated = EventCost.threadBytes();
+        long cpu = EventCost.threadNanos();
+        work.run();
+        nanos = EventCost.threadNanos() - cpu;
+        bytes = EventCost.threadBytes() - allocated;
+        wallNanos = System.nanoTime() - wall;
+        cost.add(nanos, bytes, wallNanos);
+    }
+
+    /** Processor time of the last event, in nanoseconds. */
+    long lastNanos() {
+        return nanos;
+    }
+
+    long lastBytes() {
+        return bytes;
+    }
+
+    long lastWallNanos() {
+        return wallNanos;
+    }
+}
