--- a/src/main/java/deckfall/scale/Figures.java
+++ b/src/main/java/deckfall/scale/Figures.java
@@ -2,16 +2,16 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /** The figures of a run, in the order in which they were got, and how they are printed. */
 final class Figures {
+    private static final ObjectMapper JSON = new ObjectMapper();
     private static final double NANOS_PER_MS = 1e6;
     private static final double NANOS_PER_US = 1e3;
 
@@ -61,22 +61,19 @@
         return String.format(Locale.ROOT, v == Math.rint(v) && Math.abs(v) < 1e15 ? "%.0f" : "%.4f", v);
     }
 
-    /** One JSON object: the options as they were understood, the flags of this process, the figures. */
+    /** One JSON object, a figure a line: the options as they were understood, java's flags here, the figures. */
     static String json(Map<String, ?> options, List<Figure> figures) {
-        ObjectMapper mapper = new ObjectMapper();
-        ObjectNode root = mapper.createObjectNode();
-        root.set("options", mapper.valueToTree(options));
-        root.put("java", System.getProperty("java.vm.version"));
-        root.set("flags", mapper.valueToTree(ManagementFactory.getRuntimeMXBean().getInputArguments()));
-        var list = root.putArray("figures");
-        for (Figure f : figures) {
-            list.addObject().put("hosts", f.hosts()).put("name", f.name()).put("value", f.value())
-                    .put("unit", f.unit()).put("count", f.count());
-        }
-        try {
-            return mapper.writerWithDefaultPrettyPrinter().writeValueAsString(root);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        ObjectNode head = JSON.createObjectNode();
+        head.set("options", JSON.valueToTree(options));
+        head.put("java", System.getProperty("java.vm.version"));
+        head.set("flags", JSON.valueToTree(ManagementFactory.getRuntimeMXBean().getInputArguments()));
+        String opened = head.toString();
+        return opened.substring(0, opened.length() - 1) + ",\n\"figures\":[\n"
+                + figures.stream().map(Figures::json).collect(Collectors.joining(",\n")) + "\n]}";
+    }
+
+    private static String json(Figure f) {
+        return JSON.createObjectNode().put("hosts", f.hosts()).put("name", f.name()).put("value", f.value())
+                .put("unit", f.unit()).put("count", f.count()).toString();
     }
 }
--- /dev/null
+++ b/src/main/java/deckfall/scale/Output.java
@@ -0,0 +1,44 @@
+package deckfall.scale;
+
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import picocli.CommandLine.Option;
+
+/** The options that all measurements share, and the printing of what came of them. */
+final class Output {
+    @Option(names = "--seed", defaultValue = "1", paramLabel = "N", description = "Of all that is drawn by lot: one"
+            + " seed gives the same counts each time (default: ${DEFAULT-VALUE}).")
+    private long seed;
+    @Option(names = "--json", description = "Prints one JSON object instead of lines.")
+    private boolean json;
+
+    /** A measurement at one size. */
+    interface Measurement<T> {
+        List<Figure> run(T size, Progress progress) throws Exception;
+    }
+
+    long seed() {
+        return seed;
+    }
+
+    /** Measures size by size and prints lines after each, or one JSON object in the end. */
+    <T> void print(PrintWriter out, Map<String, Object> options, List<T> sizes, Measurement<T> measurement)
+            throws Exception {
+        List<Figure> figures = new ArrayList<>();
+        Progress progress = new Progress(System.err);
+        for (T size : sizes) {
+            List<Figure> told = measurement.run(size, progress);
+            figures.addAll(told);
+            if (!json) {
+                out.print(Figures.text(told));
+                out.flush();
+            }
+        }
+        options.put("seed", seed);
+        if (json) {
+            out.println(Figures.json(options, figures));
+        }
+    }
+}
--- a/src/main/java/deckfall/scale/ProcessCommand.java
+++ b/src/main/java/deckfall/scale/ProcessCommand.java
@@ -12,6 +12,7 @@
 import java.util.regex.Pattern;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
@@ -77,36 +78,22 @@
     @Option(names = "--answer-ms", defaultValue = "20", paramLabel = "MS",
             description = "Time that a host takes for an answer, in milliseconds (default: ${DEFAULT-VALUE}).")
     private int answerMs;
-    @Option(names = "--seed", defaultValue = "1", paramLabel = "N",
-            description = "Of all that is drawn by lot (default: ${DEFAULT-VALUE}).")
-    private long seed;
-    @Option(names = "--json", description = "Prints one JSON object instead of lines.")
-    private boolean json;
+    @Mixin
+    private Output output;
 
     @Override
-    public Integer call() throws IOException, InterruptedException {
+    public Integer call() throws Exception {
         List<Plan> plans = new ArrayList<>();
         try {
             String command = run == null ? deployed(Path.of("deploy", "balancer.toml")) : run;
             for (int n : hosts) {
-                plans.add(new Plan(command, n, fleet, memoryMb, idleS, loadS, ratePerS, changes, answerMs, seed));
+                plans.add(new Plan(command, n, fleet, memoryMb, idleS, loadS, ratePerS, changes, answerMs, output.seed()));
             }
         } catch (IllegalArgumentException e) {
             throw new ParameterException(spec.commandLine(), e.getMessage());
         }
-        List<Figure> figures = new ArrayList<>();
-        Progress progress = new Progress(System.err);
-        for (Plan p : plans) {
-            List<Figure> told = new ProcessRun(p, progress).run();
-            figures.addAll(told);
-            if (!json) {
-                spec.commandLine().getOut().print(Figures.text(told));
-                spec.commandLine().getOut().flush();
-            }
-        }
-        if (json) {
-            spec.commandLine().getOut().println(Figures.json(options(plans.get(0)), figures));
-        }
+        output.print(spec.commandLine().getOut(), options(plans.get(0)), plans,
+                (plan, progress) -> new ProcessRun(plan, progress).run());
         return CommandLine.ExitCode.OK;
     }
 
@@ -134,7 +121,6 @@
         told.put("rate_per_s", ratePerS);
         told.put("changes", changes);
         told.put("answer_ms", answerMs);
-        told.put("seed", seed);
         return told;
     }
 }
--- a/src/main/java/deckfall/scale/ProcessRun.java
+++ b/src/main/java/deckfall/scale/ProcessRun.java
@@ -131,7 +131,7 @@
         figures.measured("process.requests.served", served.get(), "requests");
         figures.measured("process.requests.unserved", unserved.get(), "requests");
         figures.measured("process.request.cpu", cpuMs * 1000 / all, "us");
-        for (String p : List.of("50", "99", "99.9")) {
+        for (String p : served.get() > 0 ? List.of("50", "99", "99.9") : List.<String>of()) {
             figures.ms("process.added.p" + p,
                     nanos.getValueAtPercentile(Double.parseDouble(p)) - plan.answerMs() * 1e6);
         }
--- a/src/main/java/deckfall/scale/ScaleCommand.java
+++ b/src/main/java/deckfall/scale/ScaleCommand.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
@@ -65,14 +66,11 @@
     @Option(names = "--sharing", defaultValue = "meter", paramLabel = "HOW",
             description = "How gateways learn what the others let in: meter or peers (default: ${DEFAULT-VALUE}).")
     private Sharing sharing;
-    @Option(names = "--seed", defaultValue = "1", paramLabel = "N", description = "Of all that is drawn by lot: one"
-            + " seed gives the same counts each time (default: ${DEFAULT-VALUE}).")
-    private long seed;
     @Option(names = "--rounds", defaultValue = "2", paramLabel = "N", description = "Rounds of the whole measurement at"
             + " each size, of which the last is told; the others warm up (default: ${DEFAULT-VALUE}).")
     private int rounds;
-    @Option(names = "--json", description = "Prints one JSON object instead of lines.")
-    private boolean json;
+    @Mixin
+    private Output output;
 
     /** Runs the command; the exit code: 0, 1 where a measurement failed, 2 for options that make no sense. */
     public static int run(String... args) {
@@ -101,21 +99,9 @@
     }
 
     @Override
-    public Integer call() {
+    public Integer call() throws Exception {
         List<Sizes> sizes = checked();
-        List<Figure> figures = new ArrayList<>();
-        Progress progress = new Progress(System.err);
-        for (Sizes s : sizes) {
-            List<Figure> told = measure(s, progress);
-            figures.addAll(told);
-            if (!json) {
-                spec.commandLine().getOut().print(Figures.text(told));
-                spec.commandLine().getOut().flush();
-            }
-        }
-        if (json) {
-            spec.commandLine().getOut().println(Figures.json(options(sizes), figures));
-        }
+        output.print(spec.commandLine().getOut(), options(sizes), sizes, this::measure);
         return CommandLine.ExitCode.OK;
     }
 
@@ -129,7 +115,7 @@
             for (int n : hosts) {
                 int told = fleet == null ? gateways : fleet;
                 Sizes s = new Sizes(gateways, told, n, tenants, spread == null ? Math.min(SPREAD, told) : spread,
-                        requests, rate, changes, atOnce == null ? n / ZONES : atOnce, idleS, sharing, seed);
+                        requests, rate, changes, atOnce == null ? n / ZONES : atOnce, idleS, sharing, output.seed());
                 MemoryBound.check(s.estimatedBytes(), Runtime.getRuntime().maxMemory(), MemoryBound.physicalBytes());
                 all.add(s);
             }
@@ -167,7 +153,6 @@
         told.put("at_once", sizes.stream().map(Sizes::atOnce).toList());
         told.put("idle_s", idleS);
         told.put("sharing", sharing.name().toLowerCase(java.util.Locale.ROOT));
-        told.put("seed", seed);
         told.put("rounds", rounds);
         return told;
     }
