--- a/src/main/java/deckfall/net/HostLists.java
+++ b/src/main/java/deckfall/net/HostLists.java
@@ -1,6 +1,5 @@
 package deckfall.net;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import deckfall.Gateway.Host;
 import java.io.IOException;
 import java.io.InputStream;
@@ -10,12 +9,22 @@
 /** A list of hosts in discovery's form, read as {@link Discovery} reads what it is answered. */
 public record HostLists(List<Host> hosts, long version, boolean full) {
 
-    /** Throws IOException where the text is no JSON, as the watch does; an entry that can't be read costs that entry. */
+    /**
+     * Reads slice by slice, as the loop does.
+     *
+     * @throws IOException where the text is no list, or one that memory does not hold; an entry that can't be read
+     *     costs that entry alone
+     */
     public static HostLists read(InputStream text) throws IOException {
-        JsonNode list = JsonTree.read(text);
-        List<Discovery.Entry> entries = Discovery.entries(list);
-        List<Host> hosts = new ArrayList<>(entries.size());
-        entries.forEach(e -> hosts.add(e.host()));
-        return new HostLists(hosts, list.path("version").asLong(), list.path("full").asBoolean());
+        byte[] slice = new byte[Discovery.SLICE_BYTES];
+        try (HostListReader reader = new HostListReader(HostListReader.limitBytes())) {
+            for (int length = text.read(slice); length >= 0; length = text.read(slice)) {
+                reader.feed(slice, 0, length);
+            }
+            HostList list = reader.finish();
+            List<Host> hosts = new ArrayList<>(list.entries().size());
+            list.entries().forEach(e -> hosts.add(e.host()));
+            return new HostLists(hosts, list.version(), list.full());
+        }
     }
 }
