Tell in a refusal when the metered store has filled, or when a place may be had

Cause: refillMs() reckoned with the own level, which a gateway of many never sees empty, and with nothing for open attempts: refusals told 20 ms, the client came again at another gateway, which knew nothing, while the store was still empty and the places taken.

Change: where a meter tells, the metered store counts; a plan of open attempts tells an attempt's time.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -27,7 +27,7 @@
     private static final double METER_LAG_MS = 1300; // a metered figure's age: half its period and the way
     private static final double METER_KEPT_MS = 20_000; // a metered figure this old tells nothing any more
     private static final double OPEN_PART = 0.25; // of a set: so many of it may bring a customer at a time
-    private static final double PEAK_TURNS = 1.5; // attempts' times for each of a set's gateways: a peak holds
+    private static final double PEAK_TURNS = 1.5; // a peak holds so often as each of a set lets in one
     private static final double SPARE = 2; // times its units in the store, where no word of others is fresh
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
     // Keepers and tells
@@ -525,8 +525,10 @@
     }
 
     /** When the store has filled enough, or a place may be had; every refusal tells a time to come back. */
-    private static double refillMs(double now, Customer c, double units) {
-        return c.plan.rate() > 0 ? 1000 * (units - c.level) / c.plan.rate() : c.openNextAt - now;
+    private double refillMs(double now, Customer c, Ask ask) {
+        if (c.plan.rate() <= 0) return Math.max(ask.work(), c.openNextAt - now); // one that is out has ended
+        double level = metered() ? Math.min(c.level, c.store) : c.level;
+        return 1000 * (ask.request.units() - level) / c.plan.rate();
     }
 
     private double waitTold(double ms) {
@@ -595,7 +597,7 @@
         if (in) return;
         close(ask);
         Customer c = ask.customer;
-        act.refuse(ask.request.id(), waitTold(c == null ? FORGET_MS : refillMs(now, c, ask.request.units())));
+        act.refuse(ask.request.id(), waitTold(c == null ? FORGET_MS : refillMs(now, c, ask)));
     }
 
     /** Silence of a peer shows only where an answer was due: then it is passed over for a while. */
