--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -525,10 +525,8 @@
     }
 
     /** When the store has filled enough, or a place may be had; every refusal tells a time to come back. */
-    private double refillMs(double now, Customer c, Ask ask) {
-        if (c.plan.rate() <= 0) return Math.max(ask.work(), c.openNextAt - now); // one that is out has ended
-        double level = metered() ? Math.min(c.level, c.store) : c.level;
-        return 1000 * (ask.request.units() - level) / c.plan.rate();
+    private static double refillMs(double now, Customer c, double units) {
+        return c.plan.rate() > 0 ? 1000 * (units - c.level) / c.plan.rate() : c.openNextAt - now;
     }
 
     private double waitTold(double ms) {
@@ -597,7 +595,7 @@
         if (in) return;
         close(ask);
         Customer c = ask.customer;
-        act.refuse(ask.request.id(), waitTold(c == null ? FORGET_MS : refillMs(now, c, ask)));
+        act.refuse(ask.request.id(), waitTold(c == null ? FORGET_MS : refillMs(now, c, ask.request.units())));
     }
 
     /** Silence of a peer shows only where an answer was due: then it is passed over for a while. */
