Let a crowd be taken whole before the slow head of a test goes on

Cause, in the test: its round trip on an old connection says nothing of those that wait to be taken. Two rounds of the crowd then came after the slow head's last bytes, more than fit, and took its place: a crowd that came meanwhile, not one that had stopped. Since connections are taken four at a time this showed more often. That such a burst pushes a slow head out is in docs/open.md, as before.

Change: each round also asks on a new connection, which is taken after the round's.

--- a/src/test/java/deckfall/net/ClientReadingTest.java
+++ b/src/test/java/deckfall/net/ClientReadingTest.java
@@ -210,6 +210,9 @@
             for (int i = 0; i < 8; i++) { // all of them are three times as many as fit
                 sendOrBeClosed(client(node));
             }
+            Client last = client(node); // it is taken after them, so no more of them wait to be taken
+            assertEquals(200, last.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
+            last.close();
             assertEquals(200, regular.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
         }
         assertEquals("for v ", slow.send(request.substring(100)).receive().text());
