Let in tries of unknown customers by learned odds of being beyond their quota

Brain.judge had no figure, found the store full as far as it knew, and let all in: each of a hundred gateways gave every customer one. Of these tries 12, 29, 40 and 48 in 100 were beyond, by their one to four units, and 48 in 100 under the limit of two, where one beyond costs 1.2 times what one inside earns. Four units took 1.2 s where the aim is 0.82 s, and 2,300 of 28,000 tries were let in and given up unsent. Ruled out: the gap since the customer's last try here, the age of an old figure, jumps of the own demand, leaving out the memory of others' peaks (docs/incidents/over-quota.md).

AdmissionOdds learns by plan, and by the client's mark of a further try, how often tries of unknown customers were beyond; a try is let in by what it is worth: its odds, the chance that its answer comes in time (AnswerTimes), and what it delays where answers come late (LateShare). A part rises by half an even one at most.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -16,8 +16,6 @@
     private static final double FORGET_MS = 20_000; // idle so long a customer is forgotten, and not before
     private static final double FILLED = 2; // times the time in which its slowest store fills from nothing
     private static final int CUSTOMERS_MAX = 20_000; // books kept; a new customer beyond them is refused
-    private static final int BOOKS_MAX = 4000; // customers of whom the next process is told, the latest
-    private static final double CLOCKS_APART_MS = 60_000; // a life that begins later than this is no life
     // Admission by parts
     private static final double DEMAND_MS = 2000; // averaging of demand: longer than gaps between requests
     private static final double EVEN_PRIOR = 0.05; // of the rate, added to a set's demand: all have a part
@@ -30,16 +28,14 @@
     private static final double PEAK_TURNS = 1.5; // a peak holds so often as each of a set lets in one
     private static final double SPARE = 2; // times its units in the store, where no word of others is fresh
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
+    private static final double RISE_SHARE = 0.5; // of the even part: the largest step by which a part rises
+    private static final double LATE_COST = 2; // requests that one more delays, where all hosts queue
     // Keepers and tells
     private static final double RETRY_MIN_MS = TICK_MS; // shortest wait that a refusal tells
     private static final int KEEPERS = 2; // gateways of a set that keep its books: one may be down
     private static final double ANSWER_MS = 150; // a due answer is missing after so long
     private static final double SILENT_MS = 1000; // a peer that missed an answer is not asked so long
-    private static final double MAIL_SHARE = 0.8; // share of the intake that is used: bursts fit in the rest
-    private static final double MAIL_BURST_MS = 150; // time's worth of mail that may leave at once
-    private static final double GAP_MAX_MS = 50; // longest of the shortest gaps between messages to a peer
     private static final double SYNC_MS = 300; // how often a keeper tells the other keeper of a customer
-    private static final int TELL_BYTES = 256; // largest message
     private static final double OWNER_SHARE = 0.5; // of a ceiling, held by the first keeper; the rest evenly
     // Release
     private static final double CHANCE = 0.7; // places beyond the even ones, in roots of them: for bursts
@@ -74,10 +70,7 @@
     // Hosts
     private static final double SLOW_GAIN = 0.12; // weight of one answer in a host's slowness
     private static final double FAILED_GAIN = 0.4; // weight of a failure or of an overdue attempt
-    private static final double CHANCE_GAIN = 0.1; // weight of a first one: any host's connection may break
-    private static final double SLOW_MAX = 12; // largest slowness that is believed
     private static final double BAD_ANSWER = 4; // slowness of a full host, and of one tried before
-    private static final double SLOW_FADE_MS = 6000; // slowness not confirmed fades: a trial by itself
     private static final double CLEARED = 1.3; // slowness below which a further failure is a first one again
     private static final double TROUBLED = 2.2; // slowness from which a host is worse than chance makes it
     private static final double SILENT_AFTER = 5; // expected times, and
@@ -103,9 +96,10 @@
     private final Actions act;
     private final Map<String, ClassState> classes = new LinkedHashMap<>();
     private final Map<String, Integer> planNumbers = new LinkedHashMap<>();
+    private final Map<Integer, AdmissionOdds> firstOdds = new HashMap<>();
+    private final Map<Integer, AdmissionOdds> retryOdds = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Ask> asks = new LinkedHashMap<>();
-    private final ArrayDeque<Peer> outbox = new ArrayDeque<>();
     private final LinkedHashSet<Ask> questions = new LinkedHashSet<>();
     private final LinkedHashSet<Server> watched = new LinkedHashSet<>();
     HostTable table;
@@ -114,15 +108,16 @@
     private Peer[] peers = new Peer[0];
     private Settings set;
     private Random random;
-    private int epoch;
-    private double startedAt, beatAt, stalled, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
-    private double mail, donateGap = WEIGHT_GAP_MS;
+    private PeerOutbox outbox;
+    private double startedAt, beatAt, stalled, boundAt, sweptAt, delayAt, donateAt, surveyedAt;
+    private double donateGap = WEIGHT_GAP_MS;
     private boolean waited;
     private int inFlight, answers, timeOuts;
     private double perHost = BOUND_START;
     double capacity;
     private double lost, turn; // lost: what cold and bad hosts can't do of it, as last counted
     private double crowd; // requests that a warm host holds on the mean of all reports
+    private final LateShare lateness = new LateShare();
     private double retryTokens = RETRY_MAX / 2;
     private double latencySum, baseSum, aimShareSum;
 
@@ -136,9 +131,9 @@
         set = settings;
         random = new Random(settings.seed());
         startedAt = now;
-        epoch = (int) (long) now;
         peers = new Peer[Math.max(1, settings.gateways())];
         Arrays.setAll(peers, Peer::new);
+        outbox = new PeerOutbox(now, peers.length, settings.sharing().mailPerSecond(), act);
         table = new HostTable(peers.length > STEADY);
         double worth = settings.classes().stream().mapToDouble(c -> Math.max(WEIGHT_MIN, c.worth())).sum();
         for (RequestClass c : settings.classes()) {
@@ -148,7 +143,7 @@
             classes.put(c.name(), state);
         }
         for (int i = 0; i < settings.plans().size(); i++) planNumbers.put(settings.plans().get(i).name(), i);
-        beatAt = boundAt = sweptAt = delayAt = donateAt = mailAt = surveyedAt = now;
+        beatAt = boundAt = sweptAt = delayAt = donateAt = surveyedAt = now;
         if (settings.subscribe()) act.watchHosts();
         act.timer(TICK_MS, "beat");
     }
@@ -189,7 +184,7 @@
             return;
         }
         boolean stranger = plan != null && c == null; // there is no room for its books
-        switch (stranger ? Verdict.OUT : c == null ? Verdict.IN : judge(now, c, r.units())) {
+        switch (stranger ? Verdict.OUT : c == null ? Verdict.IN : judge(now, ask)) {
             case IN -> letIn(now, ask);
             case OUT -> decide(now, ask, false);
             // While this loop is late no answer would be heard in time, so the own part decides.
@@ -308,26 +303,14 @@
     /** Avoided is what the list says not to use, and what has done so badly that others come before it. */
     @Override public Cluster cluster(double now) {
         long bad = table.unsettled().stream().filter(s -> s.open()
-                && classes.values().stream().anyMatch(c -> slowness(now, s, c) >= BAD_ANSWER)).count();
+                && classes.values().stream().anyMatch(c -> s.slowness(now, c) >= BAD_ANSWER)).count();
         return new Cluster(table.listed(), table.drained() + (int) bad);
     }
 
     // ---- from one process to the next
 
     @Override public Books books(double now) {
-        List<Customer> known = new ArrayList<>(customers.values());
-        known.sort(Comparator.comparingDouble(c -> -c.touchedAt));
-        List<CustomerBook> books = new ArrayList<>();
-        for (Customer c : known.subList(0, Math.min(BOOKS_MAX, known.size()))) {
-            touch(now, c);
-            books.add(new CustomerBook(c.id, c.plan.name(), c.first, c.spread, c.level, c.tokens, c.store,
-                    c.demand, c.used, c.useRate, c.meterPart, c.meterAt, c.meterOthers));
-        }
-        List<HealthBook> health = new ArrayList<>();
-        table.unsettled().stream().filter(s -> s.listed).forEach(s -> s.writeHealth(health));
-        List<ClassBook> delays = classes.values().stream().map(c -> new ClassBook(c.spec.name(), c.weight,
-                c.latencyPerUnit, c.base, c.samples, c.delay, c.slope)).toList();
-        return new Books(now, perHost, books, health, delays);
+        return new SnapshotTransfer(customers, table, classes).write(now, perHost, c -> touch(now, c));
     }
 
     /** Before the first request all is taken over; from then on only what the other process still uses. */
@@ -335,26 +318,8 @@
         for (CustomerBook b : books.customers()) inherit(now, books.at(), b);
         if (!asks.isEmpty() || classes.values().stream().anyMatch(c -> c.samples > 0)) return;
         perHost = Math.max(BOUND_MIN, Math.min(BOUND_MAX, books.perHost()));
-        for (HealthBook b : books.health()) {
-            Server s = table.find(b.host());
-            if (s == null || !b.requestClass().isEmpty() && !classes.containsKey(b.requestClass())) continue;
-            Health h = s.of(b.requestClass());
-            h.slow = Math.max(0, Math.min(SLOW_MAX, b.slow()));
-            h.at = Math.min(now, b.at());
-            h.failures = b.failures();
-            table.unsettled().add(s);
-        }
-        List<String> named = books.classes().stream().map(ClassBook::name).toList();
-        if (!named.equals(List.copyOf(classes.keySet()))) return; // weights hold for all or for none
-        for (ClassBook b : books.classes()) {
-            ClassState c = classes.get(b.name());
-            c.weight = b.weight();
-            c.latencyPerUnit = b.latencyPerUnit();
-            c.base = b.base();
-            c.samples = b.samples();
-            c.delay = b.delay();
-            c.slope = b.slope();
-        }
+        new SnapshotTransfer(customers, table, classes).readHealth(now, books.health());
+        new SnapshotTransfer(customers, table, classes).readClasses(books.classes());
     }
 
     private void inherit(double now, double at, CustomerBook b) {
@@ -364,18 +329,8 @@
         if (c == null || c.planNumber != plan) return;
         if (known && c.inherited > State.NEVER) {
             charge(c, Math.max(0, b.used() - c.inherited), 0);
-        } else { // what both count from a full store is in the other's books alone
-            double spent = known ? c.used : 0;
-            c.level = Math.max(-c.plan.burst(), Math.min(c.plan.burst(), b.level()) - spent);
-            c.tokens = Math.min(c.plan.burst(), b.tokens()) - spent;
-            c.store = Math.max(0, Math.min(c.plan.burst(), b.store()) - spent);
-            c.demand += b.demand();
-            c.useRate += b.useRate();
-            c.meterPart = b.meterPart();
-            c.meterOthers = b.meterOthers();
-            c.meterTotal = b.meterOthers() + b.useRate();
-            c.meterAt = Math.min(now, b.meterAt());
-            c.informed = true;
+        } else {
+            SnapshotTransfer.readCustomer(now, c, b, known ? c.used : 0);
             if (!known) c.touchedAt = Math.min(now, at);
             touch(now, c);
         }
@@ -475,7 +430,9 @@
         return !c.informed && (now - startedAt) / 1000 * c.plan.rate() < c.plan.burst();
     }
 
-    private Verdict judge(double now, Customer c, double units) {
+    private Verdict judge(double now, Ask ask) {
+        Customer c = ask.customer;
+        double units = ask.request.units();
         c.demand += units / DEMAND_MS * 1000;
         Plan p = c.plan;
         boolean excessPays = p.overWorth() > 0 && p.overWorth() >= p.overCost();
@@ -485,6 +442,7 @@
             return Verdict.OUT;
         }
         boolean asks = set.limits().peers() && c.spread > 1;
+        if (!excessPays && metered() && c.spread > 1 && !oddsAdmit(now, ask)) return Verdict.OUT;
         int keeper = keeper(now, c, 0);
         boolean room = !limited || keeper == set.me() && asks
                 || c.tokens >= units && (!asks || now - c.newsAt < FRESH_MS)
@@ -515,6 +473,23 @@
         return c.store >= Math.min(c.plan.burst(), SPARE * units);
     }
 
+    /** Whether a try is worth its odds of being beyond the quota, which the meter alone tells of. */
+    private boolean oddsAdmit(double now, Ask ask) {
+        Customer c = ask.customer;
+        RequestClass spec = ask.cls.spec;
+        double inTime = ask.cls.times.shareWithin(spec.aimMs() / Math.max(1, ask.work()));
+        double useful = inTime + (1 - inTime) * spec.lateValue();
+        return odds(ask).admits(now, ask.request.units(), useful, LATE_COST * lateness.share(), now - c.meterAt,
+                c.meterUse);
+    }
+
+    /** Where clients mark a further try, one has been refused already: its odds are others. */
+    private AdmissionOdds odds(Ask ask) {
+        Map<Integer, AdmissionOdds> ofPlans = ask.request.retry() ? retryOdds : firstOdds;
+        return ofPlans.computeIfAbsent(ask.customer.planNumber,
+                p -> new AdmissionOdds(ask.customer.plan, set.sharing().meterPeriodMs()));
+    }
+
     private boolean openAdmits(double now, Customer c) {
         int limit = c.plan.openLimit();
         boolean fresh = c.spread == 1 || (set.limits().peers()
@@ -548,9 +523,11 @@
     private void meter(double now, Ask ask, int usedPct) {
         Customer c = ask.customer;
         if (usedPct <= 0 || !metered()) return;
+        c.meterUse = (usedPct - 1) / 100.0;
+        if (odds(ask).isUnknown(now - c.meterAt)) odds(ask).learn(now, ask.request.units(), c.meterUse);
         if (c.plan.rate() <= 0) { // it tells the most attempts out at once of late, in percent of their limit
             touch(now, c);
-            double peak = (usedPct - 1) / 100.0 * c.plan.openLimit();
+            double peak = c.meterUse * c.plan.openLimit();
             c.othersOpen = c.spread == 1 ? 0 : (int) Math.max(0, Math.round(peak - c.openPeak));
             c.meterPart = 1.0 / c.spread;
             c.meterAt = now;
@@ -558,10 +535,11 @@
             c.peakTill = now + PEAK_TURNS * c.openTurnMs;
             return;
         }
-        double total = (usedPct - 1) / 100.0 * c.plan.rate();
+        double total = c.meterUse * c.plan.rate();
         double part = total > 0 ? Math.min(1, c.useRate / total) : 1.0 / c.spread;
         boolean rises = total < c.plan.rate() && c.demand > part * c.plan.rate();
-        c.meterPart = rises ? Math.min(1, Math.max(part, c.meterPart) + EVEN_PRIOR) : part;
+        double step = Math.min(EVEN_PRIOR, RISE_SHARE / c.spread);
+        c.meterPart = rises ? Math.min(1, Math.max(part, c.meterPart) + step) : part;
         c.meterAt = now;
         c.meterTotal = total;
         c.meterOthers = Math.max(0, total - c.useRate);
@@ -587,7 +565,7 @@
         if (!c.pending.contains(ask)) c.pending.addLast(ask);
         questions.add(ask);
         c.toldAt = now;
-        queue(peers[keeper], c);
+        outbox.queue(peers[keeper], c);
     }
 
     private void decide(double now, Ask ask, boolean in) {
@@ -617,48 +595,18 @@
         int keeper = keeper(now, c, 0);
         if (keeper != set.me()) {
             c.toldAt = now;
-            if (keeper >= 0) queue(peers[keeper], c);
+            if (keeper >= 0) outbox.queue(peers[keeper], c);
         } else if (now - c.toldAt > SYNC_MS) {
             c.toldAt = now;
-            IntStream.of(c.keepers).filter(k -> k != set.me()).forEach(k -> queue(peers[k], c));
+            IntStream.of(c.keepers).filter(k -> k != set.me()).forEach(k -> outbox.queue(peers[k], c));
         }
     }
 
-    private void queue(Peer peer, Customer told) {
-        if (told != null) peer.tells.add(told);
-        if (!peer.waiting) outbox.addLast(peer);
-        peer.waiting = true;
-    }
-
-    /** Questions take half of the intake, since each brings an answer; answers only keep the shortest gap. */
     private void post(double now) {
-        double rate = Math.max(1, set.sharing().mailPerSecond()) * MAIL_SHARE / 1000;
-        mail = Math.min(Math.max(1, rate * MAIL_BURST_MS), mail + (now - mailAt) * rate / 2);
-        mailAt = now;
-        double gap = Math.min(GAP_MAX_MS, (peers.length - 1) / rate);
-        for (Peer peer : new ArrayList<>(outbox)) {
-            if (now - peer.toldAt < gap || peer.answers.isEmpty() && mail < 1) continue;
-            if (peer.answers.isEmpty()) mail -= 1;
-            tell(now, peer);
-            if (!peer.tells.isEmpty() || !peer.answers.isEmpty()) continue;
-            outbox.remove(peer);
-            peer.waiting = false;
-        }
-    }
-
-    private void tell(double now, Peer peer) {
-        List<Tell.Entry> entries = new ArrayList<>();
-        int room = (TELL_BYTES - Tell.HEAD_BYTES) / Tell.ENTRY_BYTES;
-        peer.serial++;
-        for (LinkedHashSet<Customer> due : List.of(peer.answers, peer.tells)) {
-            for (Iterator<Customer> it = due.iterator(); it.hasNext() && entries.size() < room; it.remove()) {
-                Customer c = it.next();
-                touch(now, c);
-                entries.add(due == peer.answers ? answer(now, c, peer) : tellOf(now, c, peer));
-            }
-        }
-        peer.toldAt = now;
-        act.tell(peer.number, new Tell(epoch, peer.epoch, peer.serial, peer.heardSerial, entries).bytes());
+        outbox.post(now, (peer, c, answers) -> {
+            touch(now, c);
+            return answers ? answer(now, c, peer) : tellOf(now, c, peer);
+        });
     }
 
     private Tell.Entry tellOf(double now, Customer c, Peer keeper) {
@@ -667,36 +615,21 @@
         boolean asked = keeper(now, c, 0) == keeper.number || now < keeper.silentTill
                 || c.pending.stream().anyMatch(a -> a.keeper == keeper.number);
         boolean view = keeper(now, c, 0) == set.me() || now - c.newsAt < FRESH_MS;
-        return new Tell.Entry(false, asked, c.plan.ceilingRate() > 0 && c.ceiling < want, false, view, c.id,
-                c.planNumber, c.first, c.spread, c.used, want, c.demand, c.fullness(), c.open, 0);
+        return Tell.Entry.asking(c, asked, view, want);
     }
 
     private Tell.Entry answer(double now, Customer c, Peer to) {
         Member m = c.member(to);
         double theirs = m.demand * Math.exp(-(now - m.demandAt) / DEMAND_MS);
-        double others = Math.max(0, c.demand + c.others - theirs);
-        return new Tell.Entry(true, false, c.plan.ceilingRate() > 0, unsure(now, c), false, c.id,
-                c.planNumber, c.first, c.spread, m.booked, m.granted, others, c.fullness(),
-                c.open + c.othersOpen - m.open, m.given);
+        return Tell.Entry.answering(c, m, unsure(now, c), Math.max(0, c.demand + c.others - theirs));
     }
 
     @Override public void peerSaid(double now, int from, byte[] data) {
         Tell tell = from < 0 || from >= peers.length || from == set.me() ? null : Tell.read(data);
         if (tell == null) return; // unknown sender, or damaged
         Peer peer = peers[from];
-        boolean sameLife = peer.met && tell.epoch() == peer.epoch;
-        // Overtaken on the way, told twice, or from before the sender's restart.
-        // Lives are compared by difference: their field runs over every 50 days of Unix time.
-        boolean late = sameLife ? !Tell.after(tell.serial(), peer.heardSerial)
-                : tell.epoch() - peer.epoch < 0;
-        // A life that has yet to begin would make all that its sender says from now on seem late.
-        boolean unborn = tell.epoch() - (int) (long) now > CLOCKS_APART_MS;
-        if (peer.met && late || unborn) return;
-        peer.met = true;
-        peer.epoch = tell.epoch();
-        peer.heardSerial = tell.serial();
-        peer.silentTill = State.NEVER;
-        boolean toThisLife = tell.yourEpoch() == epoch;
+        if (!outbox.takesIn(now, peer, tell)) return;
+        boolean toThisLife = tell.yourEpoch() == outbox.epoch();
         for (Tell.Entry e : tell.entries()) {
             if (e.plan() >= set.plans().size()) continue;
             if (e.answer()) hearAnswer(now, peer, e, tell.yourSerial(), toThisLife);
@@ -743,7 +676,7 @@
         }
         if (e.reply()) {
             peer.answers.add(c);
-            queue(peer, null);
+            outbox.queue(peer, null);
         }
     }
 
@@ -783,7 +716,7 @@
             granted -= in ? units : 0;
             decide(now, ask, in);
             int first = c.keepers[0]; // it did not book what another let in
-            if (in && peer.number != first && first != set.me()) queue(peers[first], c);
+            if (in && peer.number != first && first != set.me()) outbox.queue(peers[first], c);
         }
     }
 
@@ -888,6 +821,7 @@
     /** The final answer where none was served: a refusal only where a further try is harmless (rule 2). */
     private void finish(Ask ask) {
         RequestClass spec = ask.cls.spec;
+        if (ask.admitted && !ask.done) lateness.note(true);
         boolean harmless = ask.ran() == null || spec.effect() == Effect.REPEATABLE
                 || spec.effect() == Effect.KEYED && spec.scope() == Gateway.Scope.ALL;
         close(ask);
@@ -1004,26 +938,6 @@
 
     // ---- hosts
 
-    private static double slowness(double now, Health h) {
-        return h == null || h.slow == 1 ? 1 : 1 + (h.slow - 1) * Math.exp(-(now - h.at) / SLOW_FADE_MS);
-    }
-
-    /** Failures tell of a class on a host, which may serve the others as before; slow answers of the host. */
-    private static double slowness(double now, Server s, ClassState c) {
-        return slowness(now, s.judged()) * slowness(now, s.judged(c));
-    }
-
-    private static void judge(Health h, double ratio, double gain, double now) {
-        h.slow = slowness(now, h) + gain * (Math.min(SLOW_MAX, ratio) - slowness(now, h));
-        h.at = now;
-    }
-
-    /** One failure may be chance; a further one before it is forgotten tells of the host. */
-    private static void failed(Health h, double gain, double now) {
-        judge(h, SLOW_MAX, h.failures > 0 ? gain : CHANCE_GAIN, now);
-        h.failures++;
-    }
-
     private double rampOf(Server s, double now) {
         double from = set.rules().coldFrom();
         double done = (now - s.coldAt) / Math.max(1, set.rules().warmWithinMs());
@@ -1035,7 +949,7 @@
         surveyedAt = now;
         table.unsettled().removeIf(s -> s.untried() && rampOf(s, now) >= 1);
         lost = table.unsettled().stream().filter(Server::open)
-                .mapToDouble(s -> slowness(now, s.judged()) < BAD_ANSWER ? 1 - rampOf(s, now) : 1).sum();
+                .mapToDouble(s -> s.slowness(now) < BAD_ANSWER ? 1 - rampOf(s, now) : 1).sum();
         keepHomes(now);
     }
 
@@ -1111,7 +1025,7 @@
     }
 
     private double able(double now, Server s, ClassState c) {
-        return s.open() ? lean(now, s) * rampOf(s, now) / Math.max(1, slowness(now, s, c)) : 0;
+        return s.open() ? lean(now, s) * rampOf(s, now) / Math.max(1, s.slowness(now, c)) : 0;
     }
 
     /**
@@ -1139,7 +1053,7 @@
         LinkedHashSet<Server> drawn = new LinkedHashSet<>();
         for (int i = 0; i < draws * SCAN && drawn.size() < draws; i++) {
             Server s = homes.get(random.nextInt(homes.size()));
-            if (random.nextDouble() * slowness(now, s, c) <= 1) drawn.add(s);
+            if (random.nextDouble() * s.slowness(now, c) <= 1) drawn.add(s);
         }
         return drawn;
     }
@@ -1160,7 +1074,7 @@
     }
 
     private double score(double now, Ask ask, Server s) {
-        double doubt = slowness(now, s, ask.cls);
+        double doubt = s.slowness(now, ask.cls);
         if (!ownCounts() && doubt < TROUBLED) doubt = 1; // drawn by it already
         for (Attempt a : ask.attempts) {
             if (a.server == s) doubt *= BAD_ANSWER;
@@ -1195,27 +1109,29 @@
         ClassState c = ask.cls;
         switch (r.outcome()) {
             case OK -> {
-                judge(s.health(), r.latencyMs() / Math.max(1, a.work), SLOW_GAIN, now);
-                judge(s.of(c), 1, SLOW_GAIN, now);
+                s.health().note(r.latencyMs() / Math.max(1, a.work), SLOW_GAIN, now);
+                s.of(c).note(1, SLOW_GAIN, now);
                 s.health().failures = 0;
                 // A host that fails most requests at once serves some: one good answer clears it of nothing.
-                if (slowness(now, s.of(c)) < CLEARED) s.of(c).failures = 0;
+                if (s.of(c).slowness(now) < CLEARED) s.of(c).failures = 0;
                 double perUnit = r.latencyMs() / Math.max(0.1, ask.request.units());
                 c.samples++;
                 c.latencyPerUnit += Math.max(0.03, 1.0 / c.samples) * (perUnit - c.latencyPerUnit);
                 noteDelay(c, 0, r.latencyMs());
+                lateness.note(now - ask.arrived > c.spec.aimMs());
+                c.times.add((now - ask.arrived) / Math.max(1, ask.work()));
                 if (ask.customer != null && set.sharing().postPaid() && r.trueUnits() > 0) {
                     charge(ask.customer, r.trueUnits() - ask.request.units(), 0);
                 }
             }
             // No connection, and again none: down or full, the host takes nothing from us now.
-            case CONNECT_FAILED -> failed(s.health(), 1, now);
-            case FULL -> judge(s.health(), BAD_ANSWER, FAILED_GAIN, now);
+            case CONNECT_FAILED -> s.health().noteFailure(1, now);
+            case FULL -> s.health().note(BAD_ANSWER, FAILED_GAIN, now);
             case ERROR, RESET, TIMEOUT -> {
-                failed(s.of(c), FAILED_GAIN, now);
+                s.of(c).noteFailure(FAILED_GAIN, now);
                 // Among many gateways each meets a host too seldom to convict it class by class.
                 boolean several = classes.values().stream().filter(k -> s.of(k).failures > 0).count() > 1;
-                if (several) judge(s.health(), SLOW_MAX, FAILED_GAIN, now);
+                if (several) s.health().note(Health.SLOWEST, FAILED_GAIN, now);
             }
             default -> { }
         }
@@ -1233,11 +1149,11 @@
     private void watchHealth(double now) {
         for (Server s : new ArrayList<>(watched)) {
             for (Attempt a : new ArrayList<>(s.out)) {
-                double expected = a.work * Math.max(1, slowness(now, s.judged()));
+                double expected = a.work * Math.max(1, s.slowness(now));
                 double waited = now - a.sentAt - (stalled - a.stalled);
                 if (a.overdue || waited <= SILENT_AFTER * expected + QUIET_MS) continue;
                 a.overdue = true;
-                failed(s.of(a.ask.cls), FAILED_GAIN, now);
+                s.of(a.ask.cls).noteFailure(FAILED_GAIN, now);
                 boolean useful = !a.ask.done && !a.ask.streaming && now + a.work < giveUpAt(a.ask);
                 boolean safe = a.ask.cls.spec.effect() != Effect.ONCE && set.limits().cancel();
                 if (useful && safe && retryTokens >= 1) act.cancel(a.ask.request.id(), a.number);
--- /dev/null
+++ b/src/main/java/deckfall/SnapshotTransfer.java
@@ -0,0 +1,95 @@
+package deckfall;
+
+import deckfall.Gateway.Books;
+import deckfall.Gateway.ClassBook;
+import deckfall.Gateway.CustomerBook;
+import deckfall.Gateway.HealthBook;
+import deckfall.State.ClassState;
+import deckfall.State.Customer;
+import deckfall.State.Health;
+import deckfall.State.Server;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Writes the snapshot that one process leaves to the next, and reads the parts of one back. It decides nothing. */
+final class SnapshotTransfer {
+    private static final int CUSTOMERS_MAX = 4000; // those used last
+
+    private final Map<Long, Customer> customers;
+    private final HostTable hosts;
+    private final Map<String, ClassState> classes;
+
+    SnapshotTransfer(Map<Long, Customer> customers, HostTable hosts, Map<String, ClassState> classes) {
+        this.customers = customers;
+        this.hosts = hosts;
+        this.classes = classes;
+    }
+
+    /** {@code refill} brings a customer's stores up to now. */
+    Books write(double now, double attemptsPerHost, Consumer<Customer> refill) {
+        List<HealthBook> health = new ArrayList<>();
+        hosts.unsettled().stream().filter(s -> s.listed).forEach(s -> s.writeHealth(health));
+        return new Books(now, attemptsPerHost, writeCustomers(refill), health, writeClasses());
+    }
+
+    private List<CustomerBook> writeCustomers(Consumer<Customer> refill) {
+        return customers.values().stream()
+                .sorted(Comparator.comparingDouble(c -> -c.touchedAt))
+                .limit(CUSTOMERS_MAX)
+                .peek(refill)
+                .map(c -> new CustomerBook(c.id, c.plan.name(), c.first, c.spread, c.level, c.tokens, c.store,
+                        c.demand, c.used, c.useRate, c.meterPart, c.meterAt, c.meterOthers))
+                .toList();
+    }
+
+    private List<ClassBook> writeClasses() {
+        return classes.values().stream()
+                .map(c -> new ClassBook(c.spec.name(), c.weight, c.latencyPerUnit, c.base, c.samples, c.delay, c.slope))
+                .toList();
+    }
+
+    /** What both processes count from a full store is in the other's snapshot alone, so what was spent here goes off. */
+    static void readCustomer(double now, Customer c, CustomerBook b, double spent) {
+        c.level = Math.max(-c.plan.burst(), Math.min(c.plan.burst(), b.level()) - spent);
+        c.tokens = Math.min(c.plan.burst(), b.tokens()) - spent;
+        c.store = Math.max(0, Math.min(c.plan.burst(), b.store()) - spent);
+        c.demand += b.demand();
+        c.useRate += b.useRate();
+        c.meterPart = b.meterPart();
+        c.meterOthers = b.meterOthers();
+        c.meterTotal = b.meterOthers() + b.useRate();
+        c.meterUse = c.plan.rate() > 0 ? c.meterTotal / c.plan.rate() : 0;
+        c.meterAt = Math.min(now, b.meterAt());
+        c.informed = true;
+    }
+
+    void readHealth(double now, List<HealthBook> health) {
+        for (HealthBook b : health) {
+            Server s = hosts.find(b.host());
+            if (s == null || !b.requestClass().isEmpty() && !classes.containsKey(b.requestClass())) continue;
+            Health h = s.of(b.requestClass());
+            h.slow = Math.max(0, Math.min(Health.SLOWEST, b.slow()));
+            h.at = Math.min(now, b.at());
+            h.failures = b.failures();
+            hosts.unsettled().add(s);
+        }
+    }
+
+    /** Weights hold for all classes or for none. */
+    void readClasses(List<ClassBook> books) {
+        List<String> named = books.stream().map(ClassBook::name).toList();
+        if (!named.equals(List.copyOf(classes.keySet()))) return;
+        for (ClassBook b : books) {
+            ClassState c = classes.get(b.name());
+            c.weight = b.weight();
+            c.latencyPerUnit = b.latencyPerUnit();
+            c.base = b.base();
+            c.samples = b.samples();
+            c.delay = b.delay();
+            c.slope = b.slope();
+        }
+    }
+}
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -45,6 +45,7 @@
         int samples;
         double releasedAt = NEVER;
         double releaseGap;
+        final AnswerTimes times = new AnswerTimes();
         double delay;
         double tickDelay;
         int tickCount;
@@ -113,6 +114,7 @@
         double toldAt = NEVER;
         boolean informed; // as a keeper: knows what was used before its start
         double meterPart;
+        double meterUse; // of the quota, by all gateways, as the meter last told
         double meterAt = NEVER;
         double store; // the whole store as the meter tells it
         double meterTotal; // what all gateways used a second, as the meter last told
@@ -157,9 +159,27 @@
 
     /** How many times slower than usual a host was last taken to be, and when. */
     static final class Health {
+        static final double SLOWEST = 12; // largest slowness that is believed
+        private static final double FADE_MS = 6000; // slowness not confirmed fades: a trial by itself
+        private static final double CHANCE_GAIN = 0.1; // weight of a first failure: any host's connection may break
         double slow = 1;
         double at;
         int failures; // since the last good answer
+
+        double slowness(double now) {
+            return slow == 1 ? 1 : 1 + (slow - 1) * Math.exp(-(now - at) / FADE_MS);
+        }
+
+        void note(double ratio, double gain, double now) {
+            slow = slowness(now) + gain * (Math.min(SLOWEST, ratio) - slowness(now));
+            at = now;
+        }
+
+        /** One failure may be chance; a further one before it is forgotten tells of the host. */
+        void noteFailure(double gain, double now) {
+            note(SLOWEST, failures > 0 ? gain : CHANCE_GAIN, now);
+            failures++;
+        }
     }
 
     /** A host as this gateway sees it; of one that it has sent nothing to it holds little but the list's word. */
@@ -205,6 +225,16 @@
             return byClass.computeIfAbsent(requestClass, n -> new Health());
         }
 
+        double slowness(double now) {
+            return health == null ? 1 : health.slowness(now);
+        }
+
+        /** Failures tell of a class on a host, which may serve the others as before; slow answers of the host. */
+        double slowness(double now, ClassState c) {
+            Health ofClass = judged(c);
+            return slowness(now) * (ofClass == null ? 1 : ofClass.slowness(now));
+        }
+
         /** As last judged for all classes, or null. */
         Health judged() {
             return health;
--- a/src/main/java/deckfall/Tell.java
+++ b/src/main/java/deckfall/Tell.java
@@ -1,5 +1,7 @@
 package deckfall;
 
+import deckfall.State.Customer;
+import deckfall.State.Member;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,6 +34,20 @@
     record Entry(boolean answer, boolean reply, boolean ceiling, boolean unsure, boolean view, long customer, int plan,
             int first, int spread, double used, double want, double demand, double fullness, int open,
             double given) {
+        /** From a gateway of the customer's set. */
+        static Entry asking(Customer c, boolean reply, boolean view, double want) {
+            boolean ceiling = c.plan.ceilingRate() > 0 && c.ceiling < want;
+            return new Entry(false, reply, ceiling, false, view, c.id, c.planNumber, c.first, c.spread, c.used, want,
+                    c.demand, c.fullness(), c.open, 0);
+        }
+
+        /** To a gateway of the customer's set. */
+        static Entry answering(Customer c, Member to, boolean unsure, double othersDemand) {
+            return new Entry(true, false, c.plan.ceilingRate() > 0, unsure, false, c.id, c.planNumber, c.first,
+                    c.spread, to.booked, to.granted, othersDemand, c.fullness(), c.open + c.othersOpen - to.open,
+                    to.given);
+        }
+
         private int bytes() {
             return 17 + (answer ? 0 : 4) + (answer || view ? 2 : 0) + (answer && ceiling ? 4 : 0);
         }
