--- a/src/main/java/caperrudder/AdmissionOdds.java
+++ b/src/main/java/caperrudder/AdmissionOdds.java
@@ -51,8 +51,8 @@
      * @param takenFromOthers worth that the hosts' time for this try costs other requests, as a share of its own
      * @param figureAgeMs age of the meter's last figure of its customer, {@code use}
      */
-    boolean admits(double now, double units, double usefulShare, double takenFromOthers, double figureAgeMs,
-            double use) {
+    boolean admits(
+            double now, double units, double usefulShare, double takenFromOthers, double figureAgeMs, double use) {
         double known = Math.exp(-figureAgeMs / knownMs);
         double odds = known * beyondAt(use) + (1 - known) * unknownBeyond(now, units);
         double worth = (1 - odds) * usefulShare - odds * (plan.overCost() - plan.overWorth()) - takenFromOthers;
--- a/src/main/java/caperrudder/Brain.java
+++ b/src/main/java/caperrudder/Brain.java
@@ -125,9 +125,8 @@
         this.act = act;
     }
 
-    // ---- events
-
-    @Override public void start(double now, Settings settings) {
+    @Override
+    public void start(double now, Settings settings) {
         set = settings;
         random = new Random(settings.seed());
         startedAt = now;
@@ -135,20 +134,25 @@
         Arrays.setAll(peers, Peer::new);
         outbox = new PeerOutbox(now, peers.length, settings.sharing().mailPerSecond(), act);
         table = new HostTable(peers.length > STEADY);
-        double worth = settings.classes().stream().mapToDouble(c -> Math.max(WEIGHT_MIN, c.worth())).sum();
+        double worth = settings.classes().stream()
+                .mapToDouble(c -> Math.max(WEIGHT_MIN, c.worth()))
+                .sum();
         for (RequestClass c : settings.classes()) {
             ClassState state = new ClassState(c);
             state.weight = Math.max(WEIGHT_MIN, c.worth()) / worth;
-            state.latencyPerUnit = state.base = c.aimMs() * FIRST_GUESS / settings.sharing().maxUnits();
+            state.latencyPerUnit =
+                    state.base = c.aimMs() * FIRST_GUESS / settings.sharing().maxUnits();
             classes.put(c.name(), state);
         }
-        for (int i = 0; i < settings.plans().size(); i++) planNumbers.put(settings.plans().get(i).name(), i);
+        for (int i = 0; i < settings.plans().size(); i++)
+            planNumbers.put(settings.plans().get(i).name(), i);
         beatAt = boundAt = sweptAt = delayAt = donateAt = surveyedAt = now;
         if (settings.subscribe()) act.watchHosts();
         act.timer(TICK_MS, "beat");
     }
 
-    @Override public void hosts(double now, ListKind kind, List<Host> hosts) {
+    @Override
+    public void hosts(double now, ListKind kind, List<Host> hosts) {
         if (kind == ListKind.FAILED) act.timer(RELAX_MS, "watch");
         if (kind == ListKind.FAILED) return;
         if (kind != ListKind.CHANGES) table.beginList();
@@ -169,7 +173,8 @@
         release(now);
     }
 
-    @Override public void request(double now, Request r) {
+    @Override
+    public void request(double now, Request r) {
         ClassState cls = classes.get(r.requestClass());
         if (cls == null) act.refuse(r.id(), 0); // a class that the settings do not name cannot be judged
         if (cls == null) return;
@@ -187,7 +192,7 @@
         switch (stranger ? Verdict.OUT : c == null ? Verdict.IN : judge(now, ask)) {
             case IN -> letIn(now, ask);
             case OUT -> decide(now, ask, false);
-            // While this loop is late no answer would be heard in time, so the own part decides.
+                // While this loop is late no answer would be heard in time, so the own part decides.
             default -> question(now, ask, now - r.arrivedMs() < ANSWER_MS / 2 ? 0 : KEEPERS);
         }
         if (c != null && ask.admitted) changed(now, c);
@@ -219,7 +224,8 @@
         c.openNextAt = now + OPEN_PART * c.openTurnMs;
     }
 
-    @Override public void requestWhole(double now, String id, double deadlineMs) {
+    @Override
+    public void requestWhole(double now, String id, double deadlineMs) {
         Ask ask = asks.get(id);
         if (ask == null || !ask.arriving) return;
         ask.arriving = false;
@@ -228,13 +234,15 @@
         ask.attempts.stream().filter(a -> a.out).forEach(a -> place(now, a));
     }
 
-    @Override public void requestSpent(double now, String id) {
+    @Override
+    public void requestSpent(double now, String id) {
         Ask ask = asks.get(id);
         if (ask != null) ask.spent = true;
     }
 
     /** The host's work is done once its answer begins; what is left is the client's pace. */
-    @Override public void streamStarted(double now, String id, int attempt) {
+    @Override
+    public void streamStarted(double now, String id, int attempt) {
         Ask ask = asks.get(id);
         if (ask == null) return;
         ask.streaming = true;
@@ -242,7 +250,8 @@
         release(now);
     }
 
-    @Override public void attemptEnded(double now, AttemptResult r) {
+    @Override
+    public void attemptEnded(double now, AttemptResult r) {
         Ask ask = asks.get(r.id());
         if (ask == null || r.attempt() < 0 || r.attempt() >= ask.attempts.size()) return;
         Attempt a = ask.attempts.get(r.attempt());
@@ -262,7 +271,8 @@
         release(now);
     }
 
-    @Override public void clientLeft(double now, String id) {
+    @Override
+    public void clientLeft(double now, String id) {
         Ask ask = asks.get(id);
         if (ask == null) return;
         close(ask);
@@ -271,7 +281,8 @@
         }
     }
 
-    @Override public void timer(double now, String token) {
+    @Override
+    public void timer(double now, String token) {
         if (token.equals("watch")) act.watchHosts();
         if (!token.equals("beat")) return;
         act.timer(TICK_MS, "beat");
@@ -296,25 +307,23 @@
         questions.forEach(a -> a.answerBy += late);
     }
 
-    @Override public void probed(double now, String host, Outcome outcome, double took, double[] report) { }
-
-    @Override public void counted(double now, String counter, Outcome outcome, double total) { }
-
     /** Avoided is what the list says not to use, and what has done so badly that others come before it. */
-    @Override public Cluster cluster(double now) {
-        long bad = table.unsettled().stream().filter(s -> s.open()
-                && classes.values().stream().anyMatch(c -> s.slowness(now, c) >= BAD_ANSWER)).count();
+    @Override
+    public Cluster cluster(double now) {
+        long bad = table.unsettled().stream()
+                .filter(s -> s.open() && classes.values().stream().anyMatch(c -> s.slowness(now, c) >= BAD_ANSWER))
+                .count();
         return new Cluster(table.listed(), table.drained() + (int) bad);
     }
 
-    // ---- from one process to the next
-
-    @Override public Books books(double now) {
+    @Override
+    public Books books(double now) {
         return new SnapshotTransfer(customers, table, classes).write(now, perHost, c -> touch(now, c));
     }
 
     /** Before the first request all is taken over; from then on only what the other process still uses. */
-    @Override public void inherited(double now, Books books) {
+    @Override
+    public void inherited(double now, Books books) {
         for (CustomerBook b : books.customers()) inherit(now, books.at(), b);
         if (!asks.isEmpty() || classes.values().stream().anyMatch(c -> c.samples > 0)) return;
         perHost = Math.max(BOUND_MIN, Math.min(BOUND_MAX, books.perHost()));
@@ -339,7 +348,11 @@
 
     // ---- admission by parts
 
-    private enum Verdict { IN, OUT, ASK }
+    private enum Verdict {
+        IN,
+        OUT,
+        ASK
+    }
 
     /**
      * A customer's books; null where there is no room for new ones. The plan and the set that came first
@@ -444,7 +457,8 @@
         boolean asks = set.limits().peers() && c.spread > 1;
         if (!excessPays && metered() && c.spread > 1 && !oddsAdmit(now, ask)) return Verdict.OUT;
         int keeper = keeper(now, c, 0);
-        boolean room = !limited || keeper == set.me() && asks
+        boolean room = !limited
+                || keeper == set.me() && asks
                 || c.tokens >= units && (!asks || now - c.newsAt < FRESH_MS)
                 || asks && now - c.newsAt < FRESH_MS && c.level - reserve(now, c) >= units
                 || metered() && meterAdmits(now, c, units);
@@ -479,24 +493,27 @@
         RequestClass spec = ask.cls.spec;
         double inTime = ask.cls.times.shareWithin(spec.aimMs() / Math.max(1, ask.work()));
         double useful = inTime + (1 - inTime) * spec.lateValue();
-        return odds(ask).admits(now, ask.request.units(), useful, LATE_COST * lateness.share(), now - c.meterAt,
-                c.meterUse);
+        return odds(ask)
+                .admits(now, ask.request.units(), useful, LATE_COST * lateness.share(), now - c.meterAt, c.meterUse);
     }
 
     /** Where clients mark a further try, one has been refused already: its odds are others. */
     private AdmissionOdds odds(Ask ask) {
         Map<Integer, AdmissionOdds> ofPlans = ask.request.retry() ? retryOdds : firstOdds;
-        return ofPlans.computeIfAbsent(ask.customer.planNumber,
+        return ofPlans.computeIfAbsent(
+                ask.customer.planNumber,
                 p -> new AdmissionOdds(ask.customer.plan, set.sharing().meterPeriodMs()));
     }
 
     private boolean openAdmits(double now, Customer c) {
         int limit = c.plan.openLimit();
-        boolean fresh = c.spread == 1 || (set.limits().peers()
-                ? keeper(now, c, 0) == set.me() || now - c.newsAt < FRESH_MS
-                : now < c.peakTill);
-        return limit <= 0 || now >= c.openNextAt && (fresh ? c.open + c.othersOpen < limit
-                : c.open < Math.max(1, (int) (limit * part(now, c))));
+        boolean fresh = c.spread == 1
+                || (set.limits().peers()
+                        ? keeper(now, c, 0) == set.me() || now - c.newsAt < FRESH_MS
+                        : now < c.peakTill);
+        return limit <= 0
+                || now >= c.openNextAt
+                        && (fresh ? c.open + c.othersOpen < limit : c.open < Math.max(1, (int) (limit * part(now, c))));
     }
 
     /** When the store has filled enough, or a place may be had; every refusal tells a time to come back. */
@@ -545,8 +562,6 @@
         c.meterOthers = Math.max(0, total - c.useRate);
     }
 
-    // ---- questions to keepers
-
     /** Holds a request for the word of the next keeper that may know; without one the even part decides. */
     private void question(double now, Ask ask, int stage) {
         Customer c = ask.customer;
@@ -587,8 +602,6 @@
         }
     }
 
-    // ---- tells between gateways
-
     /** The keeper in charge is to know at once; where it is this gateway, the other keepers now and then. */
     private void changed(double now, Customer c) {
         if (!set.limits().peers() || c.spread == 1) return;
@@ -612,7 +625,8 @@
     private Tell.Entry tellOf(double now, Customer c, Peer keeper) {
         for (Ask a : c.pending) if (a.keeper == keeper.number) a.askSerial = keeper.serial;
         double want = c.pendingUnits();
-        boolean asked = keeper(now, c, 0) == keeper.number || now < keeper.silentTill
+        boolean asked = keeper(now, c, 0) == keeper.number
+                || now < keeper.silentTill
                 || c.pending.stream().anyMatch(a -> a.keeper == keeper.number);
         boolean view = keeper(now, c, 0) == set.me() || now - c.newsAt < FRESH_MS;
         return Tell.Entry.asking(c, asked, view, want);
@@ -624,7 +638,8 @@
         return Tell.Entry.answering(c, m, unsure(now, c), Math.max(0, c.demand + c.others - theirs));
     }
 
-    @Override public void peerSaid(double now, int from, byte[] data) {
+    @Override
+    public void peerSaid(double now, int from, byte[] data) {
         Tell tell = from < 0 || from >= peers.length || from == set.me() ? null : Tell.read(data);
         if (tell == null) return; // unknown sender, or damaged
         Peer peer = peers[from];
@@ -664,8 +679,8 @@
         m.known = true;
         c.level = Math.max(-c.plan.burst(), Math.min(c.plan.burst(), c.level - spent));
         boolean gives = e.ceiling() && c.plan.ceilingRate() > 0;
-        boolean grants = e.want() > 0 && (c.plan.rate() <= 0 || c.level >= e.want())
-                && (!gives || c.ceiling >= e.want());
+        boolean grants =
+                e.want() > 0 && (c.plan.rate() <= 0 || c.level >= e.want()) && (!gives || c.ceiling >= e.want());
         m.granted = grants ? e.want() : 0;
         m.booked = e.used() + m.granted;
         c.level -= m.granted;
@@ -686,7 +701,8 @@
         if (c == null || !toThisLife) return;
         touch(now, c);
         if (c.planNumber != e.plan()) { // one of the two was told a wrong plan: this grants nothing
-            List<Ask> asked = c.pending.stream().filter(a -> a.keeper == peer.number).toList();
+            List<Ask> asked =
+                    c.pending.stream().filter(a -> a.keeper == peer.number).toList();
             asked.forEach(a -> decide(now, a, false));
             return;
         }
@@ -696,7 +712,8 @@
             m.taken = e.given();
         }
         List<Ask> judged = c.pending.stream()
-                .filter(a -> a.keeper == peer.number && !Tell.after(a.askSerial, mySerial)).toList();
+                .filter(a -> a.keeper == peer.number && !Tell.after(a.askSerial, mySerial))
+                .toList();
         if (!e.unsure()) {
             c.others = e.demand();
             c.othersOpen = e.open();
@@ -822,7 +839,8 @@
     private void finish(Ask ask) {
         RequestClass spec = ask.cls.spec;
         if (ask.admitted && !ask.done) lateness.note(true);
-        boolean harmless = ask.ran() == null || spec.effect() == Effect.REPEATABLE
+        boolean harmless = ask.ran() == null
+                || spec.effect() == Effect.REPEATABLE
                 || spec.effect() == Effect.KEYED && spec.scope() == Gateway.Scope.ALL;
         close(ask);
         // A place may be had once what is held now has left.
@@ -854,7 +872,8 @@
         if (ends > 0) {
             // A few attempts that the network swallowed say nothing of queues, however long they took.
             boolean stretched = latencySum > STRETCHED * baseSum && aimShareSum > AIM_USED * answers
-                    || aimShareSum > AIM_LOST * answers || timeOuts > answers;
+                    || aimShareSum > AIM_LOST * answers
+                    || timeOuts > answers;
             if (stretched) perHost = Math.max(BOUND_MIN, perHost * BOUND_DOWN);
             else if (waited) perHost = Math.min(BOUND_MAX, perHost * BOUND_UP);
         }
@@ -948,8 +967,10 @@
     private void survey(double now) {
         surveyedAt = now;
         table.unsettled().removeIf(s -> s.untried() && rampOf(s, now) >= 1);
-        lost = table.unsettled().stream().filter(Server::open)
-                .mapToDouble(s -> s.slowness(now) < BAD_ANSWER ? 1 - rampOf(s, now) : 1).sum();
+        lost = table.unsettled().stream()
+                .filter(Server::open)
+                .mapToDouble(s -> s.slowness(now) < BAD_ANSWER ? 1 - rampOf(s, now) : 1)
+                .sum();
         keepHomes(now);
     }
 
@@ -964,7 +985,8 @@
         boolean steady = peers.length > STEADY;
         long me = set.me();
         long first = steady ? me * size / peers.length : me * kept % Math.max(1, size);
-        List<Server> run = steady && kept >= ARC ? table.arc(set.me(), HOST_GATEWAYS, peers.length, HOMES)
+        List<Server> run = steady && kept >= ARC
+                ? table.arc(set.me(), HOST_GATEWAYS, peers.length, HOMES)
                 : table.run((int) first, Math.min(kept, size));
         if (run != homes || surveyedAt == now) coldest = HostTable.lastStarted(run);
         homes = run;
@@ -1006,7 +1028,8 @@
      * soon exceeds the few that it bears (rule 4).
      */
     private Server coldInTurn(double now, Ask ask) {
-        double left = random.nextDouble() * homes.stream().mapToDouble(s -> able(now, s, ask.cls)).sum();
+        double left = random.nextDouble()
+                * homes.stream().mapToDouble(s -> able(now, s, ask.cls)).sum();
         for (Server s : homes) {
             left -= able(now, s, ask.cls);
             if (left > 0) continue;
@@ -1086,20 +1109,27 @@
 
     /** Rule 2: once an attempt may have run, only where a repeat does no harm. */
     private boolean legal(double now, Ask ask, Attempt ran, Server s) {
-        return repeatable(now, ask, ran) && (ran == null || ask.cls.spec.effect() != Effect.KEYED
-                || ask.cls.spec.scope().together(s.info, ran.server.info));
+        return repeatable(now, ask, ran)
+                && (ran == null
+                        || ask.cls.spec.effect() != Effect.KEYED
+                        || ask.cls.spec.scope().together(s.info, ran.server.info));
     }
 
     private boolean repeatable(double now, Ask ask, Attempt ran) {
         RequestClass spec = ask.cls.spec;
         double arrives = now + set.limits().connectTimeoutMs(); // at the latest, on a new connection
-        return ran == null || spec.effect() == Effect.REPEATABLE
+        return ran == null
+                || spec.effect() == Effect.REPEATABLE
                 || spec.effect() == Effect.KEYED && arrives < ran.sentAt + WINDOW_SHARE * spec.windowMs();
     }
 
     private boolean mayTryAgain(double now, Ask ask) {
-        boolean may = repeatable(now, ask, ask.ran()) && !ask.streaming && !ask.spent && now < giveUpAt(ask)
-                && retryTokens >= 1 && ask.attempts.size() < set.limits().maxAttempts();
+        boolean may = repeatable(now, ask, ask.ran())
+                && !ask.streaming
+                && !ask.spent
+                && now < giveUpAt(ask)
+                && retryTokens >= 1
+                && ask.attempts.size() < set.limits().maxAttempts();
         retryTokens -= may ? 1 : 0;
         return may;
     }
@@ -1124,16 +1154,19 @@
                     charge(ask.customer, r.trueUnits() - ask.request.units(), 0);
                 }
             }
-            // No connection, and again none: down or full, the host takes nothing from us now.
+                // No connection, and again none: down or full, the host takes nothing from us now.
             case CONNECT_FAILED -> s.health().noteFailure(1, now);
             case FULL -> s.health().note(BAD_ANSWER, FAILED_GAIN, now);
             case ERROR, RESET, TIMEOUT -> {
                 s.of(c).noteFailure(FAILED_GAIN, now);
                 // Among many gateways each meets a host too seldom to convict it class by class.
-                boolean several = classes.values().stream().filter(k -> s.of(k).failures > 0).count() > 1;
+                boolean several = classes.values().stream()
+                                .filter(k -> s.of(k).failures > 0)
+                                .count()
+                        > 1;
                 if (several) s.health().note(Health.SLOWEST, FAILED_GAIN, now);
             }
-            default -> { }
+            default -> {}
         }
         noteLoad(now, s, r.report());
         if (r.outcome() == Outcome.TIMEOUT) timeOuts++;
@@ -1155,7 +1188,8 @@
                 a.overdue = true;
                 s.of(a.ask.cls).noteFailure(FAILED_GAIN, now);
                 boolean useful = !a.ask.done && !a.ask.streaming && now + a.work < giveUpAt(a.ask);
-                boolean safe = a.ask.cls.spec.effect() != Effect.ONCE && set.limits().cancel();
+                boolean safe =
+                        a.ask.cls.spec.effect() != Effect.ONCE && set.limits().cancel();
                 if (useful && safe && retryTokens >= 1) act.cancel(a.ask.request.id(), a.number);
             }
         }
@@ -1171,8 +1205,7 @@
     private void sweep(double now) {
         if (now - sweptAt < SWEEP_MS) return;
         sweptAt = now;
-        customers.values().removeIf(c -> now - c.touchedAt > forgetMs(c.plan)
-                && c.open == 0 && c.pending.isEmpty());
+        customers.values().removeIf(c -> now - c.touchedAt > forgetMs(c.plan) && c.open == 0 && c.pending.isEmpty());
         table.forgetUnlisted();
     }
 }
--- a/src/main/java/caperrudder/HostTable.java
+++ b/src/main/java/caperrudder/HostTable.java
@@ -91,7 +91,8 @@
         int key = key(s.info.id());
         open.add(key, s);
         places.computeIfAbsent(s.info.zone(), z -> new TreeMap<>())
-                .computeIfAbsent(s.info.cell(), c -> new RankedHosts()).add(key, s);
+                .computeIfAbsent(s.info.cell(), c -> new RankedHosts())
+                .add(key, s);
         runChanged |= withinRun(key, s.info.id());
     }
 
@@ -113,7 +114,8 @@
         boolean fromFirst = order(key, id, run.get(0)) >= 0;
         boolean toLast = order(key, id, run.get(run.size() - 1)) <= 0;
         return order(key(run.get(0).info.id()), run.get(0).info.id(), run.get(run.size() - 1)) <= 0
-                ? fromFirst && toLast : fromFirst || toLast;
+                ? fromFirst && toLast
+                : fromFirst || toLast;
     }
 
     private int order(int key, String id, Server other) {
@@ -172,8 +174,7 @@
     /** The open hosts from this rank on in the order of their keys, counted round; not to be changed. */
     List<Server> run(int rank, int count) {
         arc = null;
-        boolean same = !runChanged && count == run.size()
-                && (count == 0 || run.get(0) == open.at(rank % open.size()));
+        boolean same = !runChanged && count == run.size() && (count == 0 || run.get(0) == open.at(rank % open.size()));
         return same ? run : runOf(rank, count);
     }
 
@@ -221,7 +222,11 @@
 
     /** Hosts compared, copied or visited up to now: what the look-ups cost. */
     long touched() {
-        return all.touched + open.touched + places.values().stream().flatMap(zone -> zone.values().stream())
-                .mapToLong(cell -> cell.touched).sum();
+        return all.touched
+                + open.touched
+                + places.values().stream()
+                        .flatMap(zone -> zone.values().stream())
+                        .mapToLong(cell -> cell.touched)
+                        .sum();
     }
 }
--- a/src/main/java/caperrudder/Main.java
+++ b/src/main/java/caperrudder/Main.java
@@ -11,7 +11,7 @@
 public final class Main {
     private static final int USAGE = 2;
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) throws IOException, InterruptedException {
         if (args.length > 0 && args[0].equals("scale")) {
--- a/src/main/java/caperrudder/RankedHosts.java
+++ b/src/main/java/caperrudder/RankedHosts.java
@@ -156,8 +156,9 @@
         int high = used - 1;
         while (low < high) {
             int middle = (low + high + 1) >>> 1;
-            boolean before = firstKeys[middle] < key || firstKeys[middle] == key
-                    && blocks[middle].hosts[0].info.id().compareTo(id) <= 0;
+            boolean before = firstKeys[middle] < key
+                    || firstKeys[middle] == key
+                            && blocks[middle].hosts[0].info.id().compareTo(id) <= 0;
             if (before) low = middle;
             else high = middle - 1;
             touched++;
--- a/src/main/java/caperrudder/SnapshotTransfer.java
+++ b/src/main/java/caperrudder/SnapshotTransfer.java
@@ -40,8 +40,20 @@
                 .sorted(Comparator.comparingDouble(c -> -c.touchedAt))
                 .limit(CUSTOMERS_MAX)
                 .peek(refill)
-                .map(c -> new CustomerBook(c.id, c.plan.name(), c.first, c.spread, c.level, c.tokens, c.store,
-                        c.demand, c.used, c.useRate, c.meterPart, c.meterAt, c.meterOthers))
+                .map(c -> new CustomerBook(
+                        c.id,
+                        c.plan.name(),
+                        c.first,
+                        c.spread,
+                        c.level,
+                        c.tokens,
+                        c.store,
+                        c.demand,
+                        c.used,
+                        c.useRate,
+                        c.meterPart,
+                        c.meterAt,
+                        c.meterOthers))
                 .toList();
     }
 
--- a/src/main/java/caperrudder/State.java
+++ b/src/main/java/caperrudder/State.java
@@ -20,13 +20,17 @@
 final class State {
     static final double NEVER = Double.NEGATIVE_INFINITY;
 
-    private State() { }
+    private State() {}
 
     /** The gateways of a set that stand first by the hash of a thing: each gateway finds the same by itself. */
     static int[] ranked(long thing, int first, int spread, int gateways, int count) {
-        return IntStream.range(first, first + spread).map(g -> Math.floorMod(g, gateways)).boxed()
-                .sorted(Comparator.comparingLong(g -> mixed(thing * 31 + mixed(g)))).limit(count)
-                .mapToInt(g -> g).toArray();
+        return IntStream.range(first, first + spread)
+                .map(g -> Math.floorMod(g, gateways))
+                .boxed()
+                .sorted(Comparator.comparingLong(g -> mixed(thing * 31 + mixed(g))))
+                .limit(count)
+                .mapToInt(g -> g)
+                .toArray();
     }
 
     private static long mixed(long x) {
@@ -53,7 +57,6 @@
         double markDelay;
         double markWeight;
 
-
         ClassState(RequestClass spec) {
             this.spec = spec;
         }
--- a/src/main/java/caperrudder/Tell.java
+++ b/src/main/java/caperrudder/Tell.java
@@ -31,20 +31,60 @@
      * store where it has one. The answer of a keeper: units booked, units granted of what was wanted, the demand of
      * the others, the store, ceiling units given so far in the receiver's life.
      */
-    record Entry(boolean answer, boolean reply, boolean ceiling, boolean unsure, boolean view, long customer, int plan,
-            int first, int spread, double used, double want, double demand, double fullness, int open,
+    record Entry(
+            boolean answer,
+            boolean reply,
+            boolean ceiling,
+            boolean unsure,
+            boolean view,
+            long customer,
+            int plan,
+            int first,
+            int spread,
+            double used,
+            double want,
+            double demand,
+            double fullness,
+            int open,
             double given) {
         /** From a gateway of the customer's set. */
         static Entry asking(Customer c, boolean reply, boolean view, double want) {
             boolean ceiling = c.plan.ceilingRate() > 0 && c.ceiling < want;
-            return new Entry(false, reply, ceiling, false, view, c.id, c.planNumber, c.first, c.spread, c.used, want,
-                    c.demand, c.fullness(), c.open, 0);
+            return new Entry(
+                    false,
+                    reply,
+                    ceiling,
+                    false,
+                    view,
+                    c.id,
+                    c.planNumber,
+                    c.first,
+                    c.spread,
+                    c.used,
+                    want,
+                    c.demand,
+                    c.fullness(),
+                    c.open,
+                    0);
         }
 
         /** To a gateway of the customer's set. */
         static Entry answering(Customer c, Member to, boolean unsure, double othersDemand) {
-            return new Entry(true, false, c.plan.ceilingRate() > 0, unsure, false, c.id, c.planNumber, c.first,
-                    c.spread, to.booked, to.granted, othersDemand, c.fullness(), c.open + c.othersOpen - to.open,
+            return new Entry(
+                    true,
+                    false,
+                    c.plan.ceilingRate() > 0,
+                    unsure,
+                    false,
+                    c.id,
+                    c.planNumber,
+                    c.first,
+                    c.spread,
+                    to.booked,
+                    to.granted,
+                    othersDemand,
+                    c.fullness(),
+                    c.open + c.othersOpen - to.open,
                     to.given);
         }
 
@@ -53,8 +93,11 @@
         }
 
         private void put(ByteBuffer b) {
-            b.put((byte) ((answer ? ANSWER : 0) | (reply ? REPLY : 0) | (ceiling ? CEILING : 0)
-                    | (unsure ? UNSURE : 0) | (view ? VIEW : 0)));
+            b.put((byte) ((answer ? ANSWER : 0)
+                    | (reply ? REPLY : 0)
+                    | (ceiling ? CEILING : 0)
+                    | (unsure ? UNSURE : 0)
+                    | (view ? VIEW : 0)));
             b.put((byte) plan).put((byte) (customer >>> 32)).putInt((int) customer);
             if (!answer) b.putShort((short) first).putShort((short) spread);
             b.putInt((int) Math.round(used * PER_UNIT)).putShort(word(want * PER_UNIT));
@@ -78,8 +121,22 @@
             int open = b.getShort() & WORD;
             double fullness = answer || view ? b.getShort() / PER_STORE : 0;
             double given = answer && ceiling ? b.getInt() / PER_UNIT : 0;
-            return new Entry(answer, (flags & REPLY) != 0, ceiling, (flags & UNSURE) != 0, view, customer, plan,
-                    first, spread, used, want, demand, fullness, open, given);
+            return new Entry(
+                    answer,
+                    (flags & REPLY) != 0,
+                    ceiling,
+                    (flags & UNSURE) != 0,
+                    view,
+                    customer,
+                    plan,
+                    first,
+                    spread,
+                    used,
+                    want,
+                    demand,
+                    fullness,
+                    open,
+                    given);
         }
     }
 
--- a/src/main/java/caperrudder/net/AdminServer.java
+++ b/src/main/java/caperrudder/net/AdminServer.java
@@ -57,15 +57,21 @@
         this.figures = figures;
         this.maxConnections = Descriptors.alone(sockets).secondAddress();
         try {
-            listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+            listener = new ServerBootstrap()
+                    .group(group)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
                     .option(ChannelOption.RCVBUF_ALLOCATOR, Transport.accepting())
                     .childHandler(new ChannelInitializer<>() {
                         @Override
                         protected void initChannel(Channel ch) {
                             ch.pipeline().addLast(new HttpServerCodec(), new Call());
                         }
-                    }).bind(at).sync().channel();
+                    })
+                    .bind(at)
+                    .sync()
+                    .channel();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -98,14 +104,17 @@
         if (path.equals(TELEMETRY)) {
             return response(HttpResponseStatus.OK, figures.get().text());
         }
-        return ready.getAsBoolean() ? response(HttpResponseStatus.OK, "ready\n")
+        return ready.getAsBoolean()
+                ? response(HttpResponseStatus.OK, "ready\n")
                 : response(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
     }
 
     private static FullHttpResponse response(HttpResponseStatus status, String text) {
         ByteBuf body = Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
         FullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-        r.headers().set(HttpHeaderNames.CONTENT_TYPE, TEXT).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        r.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, TEXT)
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         return r;
     }
--- a/src/main/java/caperrudder/net/BooksFormat.java
+++ b/src/main/java/caperrudder/net/BooksFormat.java
@@ -21,7 +21,7 @@
     private static final int VERSION = 0xCA9E0001;
     private static final int SUM_BYTES = Long.BYTES;
 
-    private BooksFormat() { }
+    private BooksFormat() {}
 
     private interface Part<T> {
         T read(DataInputStream in) throws IOException;
@@ -39,8 +39,17 @@
                 out.writeUTF(c.plan());
                 out.writeInt(c.first());
                 out.writeInt(c.spread());
-                doubles(out, c.level(), c.tokens(), c.store(), c.demand(), c.used(), c.useRate(), c.meterPart(),
-                        c.meterAt(), c.meterOthers());
+                doubles(
+                        out,
+                        c.level(),
+                        c.tokens(),
+                        c.store(),
+                        c.demand(),
+                        c.used(),
+                        c.useRate(),
+                        c.meterPart(),
+                        c.meterAt(),
+                        c.meterOthers());
             }
             out.writeInt(books.health().size());
             for (HealthBook h : books.health()) {
@@ -75,7 +84,11 @@
             }
             double at = in.readDouble();
             double perHost = in.readDouble();
-            return new Books(at, perHost, list(in, BooksFormat::customer), list(in, BooksFormat::health),
+            return new Books(
+                    at,
+                    perHost,
+                    list(in, BooksFormat::customer),
+                    list(in, BooksFormat::health),
                     list(in, BooksFormat::requestClass));
         } catch (IOException e) {
             return null;
@@ -83,9 +96,20 @@
     }
 
     private static CustomerBook customer(DataInputStream in) throws IOException {
-        return new CustomerBook(in.readLong(), in.readUTF(), in.readInt(), in.readInt(), in.readDouble(),
-                in.readDouble(), in.readDouble(), in.readDouble(), in.readDouble(), in.readDouble(), in.readDouble(),
-                in.readDouble(), in.readDouble());
+        return new CustomerBook(
+                in.readLong(),
+                in.readUTF(),
+                in.readInt(),
+                in.readInt(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readDouble());
     }
 
     private static HealthBook health(DataInputStream in) throws IOException {
@@ -93,8 +117,14 @@
     }
 
     private static ClassBook requestClass(DataInputStream in) throws IOException {
-        return new ClassBook(in.readUTF(), in.readDouble(), in.readDouble(), in.readDouble(), in.readInt(),
-                in.readDouble(), in.readDouble());
+        return new ClassBook(
+                in.readUTF(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readDouble(),
+                in.readInt(),
+                in.readDouble(),
+                in.readDouble());
     }
 
     private static <T> List<T> list(DataInputStream in, Part<T> part) throws IOException {
--- a/src/main/java/caperrudder/net/ClientServer.java
+++ b/src/main/java/caperrudder/net/ClientServer.java
@@ -43,7 +43,8 @@
     private static final int ASKED_ONCE = 1; // requests on a connection that need not bring another
     private static final int FAULTS = 2; // bad requests on a connection, from which it is read only now and then
     private static final long PAUSE_MS = 200; // such a connection is not read for so long after each
-    private static final long LINGER_MS = 300; // for the client's end, behind the last answer; shorter than an exit may take
+    private static final long LINGER_MS =
+            300; // for the client's end, behind the last answer; shorter than an exit may take
     private static final double MS_PER_SECOND = 1000;
     private static final String READY = "/healthz";
 
@@ -56,6 +57,7 @@
     private final LinkedHashSet<Connection> lingering = new LinkedHashSet<>(); // their output has ended
     /** Who gives way first; in each set the one stands first that has sent nothing for longest. */
     private final List<LinkedHashSet<Connection>> givingWay = List.of(unused, casual, idle);
+
     private Channel listener;
 
     ClientServer(Node node) {
@@ -65,7 +67,8 @@
 
     /** Clients are served once this is done. */
     ChannelFuture start() {
-        ChannelFuture bound = node.transport.server(node.group)
+        ChannelFuture bound = node.transport
+                .server(node.group)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
@@ -73,7 +76,8 @@
                         client.reader.addTo(ch.pipeline());
                         ch.pipeline().addLast(client);
                     }
-                }).bind(node.transport.at(node.config.listen()));
+                })
+                .bind(node.transport.at(node.config.listen()));
         listener = bound.channel();
         node.loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
@@ -169,7 +173,9 @@
         if (c.channel.isActive() && !c.reader.valve().isShut()) {
             Transport.readNow(c.channel);
         }
-        boolean free = c.whole == before && c.reader.reads() == reads && (forced || !c.reader.unfinished())
+        boolean free = c.whole == before
+                && c.reader.reads() == reads
+                && (forced || !c.reader.unfinished())
                 && (c.spared || !c.owes());
         c.spared |= c.owes();
         if (free && forced) {
@@ -228,12 +234,20 @@
 
         /** Whether an answer still waits to be taken, or a request for its turn: closing would lose either. */
         private boolean owes() {
-            return !waiting.isEmpty() || reader.valve().holds() || channel.isActive() && channel.unsafe().outboundBuffer() != null
-                    && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > 0;
+            return !waiting.isEmpty()
+                    || reader.valve().holds()
+                    || channel.isActive()
+                            && channel.unsafe().outboundBuffer() != null
+                            && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > 0;
         }
 
         private void closeOnceTaken() {
-            if (!busy && !ended && owes() && waiting.isEmpty() && !reader.valve().holds() && !reader.unfinished()) {
+            if (!busy
+                    && !ended
+                    && owes()
+                    && waiting.isEmpty()
+                    && !reader.valve().holds()
+                    && !reader.unfinished()) {
                 ended = true;
                 leavePlace();
                 closeOnce(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
@@ -383,14 +397,18 @@
             }
             // Ahead of an answer that is still due it would be taken to belong to that one; then the client waits.
             if (event == RequestReader.Asks.TO_GO_ON && !busy && !ended && waiting.isEmpty()) {
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-                        Unpooled.EMPTY_BUFFER), channel.voidPromise());
+                channel.writeAndFlush(
+                        new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+                        channel.voidPromise());
             }
         }
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            boolean broken = message instanceof RequestReader.Unreadable && upload != null && !upload.isComplete(); // its end can't be found
+            boolean broken = message instanceof RequestReader.Unreadable
+                    && upload != null
+                    && !upload.isComplete(); // its end can't be found
             if (broken && source != null) { // and its answer is on its way
                 breakOff();
             } else if (broken && !busy) { // and its answer is given
@@ -404,7 +422,8 @@
                 return;
             }
             if (message instanceof RequestReader.Unreadable
-                    && waiting.peekLast() instanceof RequestReader.Arriving last && !last.body().isComplete()) {
+                    && waiting.peekLast() instanceof RequestReader.Arriving last
+                    && !last.body().isComplete()) {
                 drop(waiting.pollLast()); // its end will not come
             }
             waiting.add(message);
@@ -484,7 +503,9 @@
             } else if (node.full()) {
                 body.discard();
                 node.tally().ended(read.requestClass(), Tally.End.DEFERRED);
-                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
+                answer(
+                        HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        node.config.settings().limits().maxRetryAfterMs());
             } else {
                 requests++;
                 node.taken(read, request, body, this);
@@ -498,10 +519,13 @@
             }
             paused = true;
             regulate();
-            node.loop.schedule(() -> {
-                paused = false;
-                regulate();
-            }, PAUSE_MS, TimeUnit.MILLISECONDS);
+            node.loop.schedule(
+                    () -> {
+                        paused = false;
+                        regulate();
+                    },
+                    PAUSE_MS,
+                    TimeUnit.MILLISECONDS);
         }
 
         /** Whether the client is there still: what stands in its socket is read before the loop comes to it. */
@@ -516,8 +540,8 @@
 
         /** Passes a host's answer on as it came. */
         void serve(FullHttpResponse from) {
-            FullHttpResponse to = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                    from.content().retain());
+            FullHttpResponse to = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, from.content().retain());
             copyType(from, to);
             write(to);
         }
@@ -594,11 +618,11 @@
         }
 
         void answer(HttpResponseStatus status, double retryAfterMs) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                    Unpooled.EMPTY_BUFFER);
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
             if (retryAfterMs > 0) {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER,
-                        Double.toString(Math.ceil(retryAfterMs) / MS_PER_SECOND));
+                response.headers()
+                        .set(HttpHeaderNames.RETRY_AFTER, Double.toString(Math.ceil(retryAfterMs) / MS_PER_SECOND));
             }
             write(response);
         }
--- a/src/main/java/caperrudder/net/Descriptors.java
+++ b/src/main/java/caperrudder/net/Descriptors.java
@@ -8,6 +8,7 @@
 record Descriptors(int clients, int hosts, int secondAddress) {
     /** Taken by a listener at once: whom they displace, or who is turned away, holds a descriptor that long. */
     static final int ACCEPTED_AT_ONCE = 4;
+
     private static final int LISTENERS = 2; // each of which may have taken as many
     private static final int FILES = 28; // its archives, streams and selectors are 22; some more at its start
     private static final int DISCOVERY = 4; // two calls, and two that were just left
--- a/src/main/java/caperrudder/net/Discovery.java
+++ b/src/main/java/caperrudder/net/Discovery.java
@@ -48,6 +48,7 @@
      * requests are served.
      */
     static final int SLICE_BYTES = 16 * 1024;
+
     private static final int FIRST_SLICE_BYTES = 2 * 1024; // of an answer: most lists are short
 
     private final Node node;
@@ -64,8 +65,10 @@
     Discovery(Node node, HostList known) {
         this.node = node;
         this.agent = node.config.discovery();
-        this.times = new DiscoveryTimes(!node.config.settings().subscribe(),
-                node.config.settings().rules().drainGraceMs(), node.config.settings().seed());
+        this.times = new DiscoveryTimes(
+                !node.config.settings().subscribe(),
+                node.config.settings().rules().drainGraceMs(),
+                node.config.settings().seed());
         this.heard = node.loop.newPromise();
         this.version = versionOf(known);
     }
@@ -106,7 +109,9 @@
     /** {@code prompt}: the first call is to be answered at once. */
     private Calls open(boolean prompt) {
         Calls calls = new Calls(prompt);
-        ChannelFuture connecting = new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
+        ChannelFuture connecting = new Bootstrap()
+                .group(node.loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DiscoveryTimes.CONNECT_MS)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, slices())
@@ -115,7 +120,8 @@
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline().addLast(new HttpClientCodec(), calls);
                     }
-                }).connect(agent);
+                })
+                .connect(agent);
         calls.channel = connecting.channel();
         connecting.addListener(f -> {
             if (!f.isSuccess()) { // where no descriptor was left it is told on another thread
@@ -224,8 +230,8 @@
             long hold = whole || prompt ? 0 : times.holdMs();
             prompt = false;
             String uri = whole ? PATH : PATH + "?from=" + version + "&hold_ms=" + hold;
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
-                    Unpooled.EMPTY_BUFFER);
+            DefaultFullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri, Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             channel.writeAndFlush(request, channel.voidPromise());
             if (this == current && hold > 0) {
@@ -236,13 +242,16 @@
         /** Whoever is silent for longer is doubted: beside the current call another one is made. */
         void expectWithin(double ms) {
             stopTimeout();
-            timeout = node.loop.schedule(() -> {
-                if (this == beside) {
-                    drop();
-                } else if (this == current) {
-                    askBeside();
-                }
-            }, (long) ms, TimeUnit.MILLISECONDS);
+            timeout = node.loop.schedule(
+                    () -> {
+                        if (this == beside) {
+                            drop();
+                        } else if (this == current) {
+                            askBeside();
+                        }
+                    },
+                    (long) ms,
+                    TimeUnit.MILLISECONDS);
         }
 
         private void stopTimeout() {
@@ -257,7 +266,8 @@
                 return; // of an agent that was left, or late: its word may be older than what was told since
             }
             if (part.decoderResult().isFailure()) {
-                throw new IOException("an answer that is no HTTP: " + part.decoderResult().cause().getMessage());
+                throw new IOException("an answer that is no HTTP: "
+                        + part.decoderResult().cause().getMessage());
             }
             if (part instanceof HttpResponse) {
                 begun((HttpResponse) part);
@@ -354,7 +364,8 @@
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             Fatal.check(cause);
             if (failures == 0 && isHeard()) { // one line for a spell of failures, however often it is asked
-                Node.log("discovery: " + String.valueOf(cause.getMessage()).lines().findFirst().orElse(""));
+                Node.log("discovery: "
+                        + String.valueOf(cause.getMessage()).lines().findFirst().orElse(""));
             }
             dropList();
             ctx.close();
--- a/src/main/java/caperrudder/net/DrainableListener.java
+++ b/src/main/java/caperrudder/net/DrainableListener.java
@@ -24,7 +24,9 @@
             return;
         }
         try {
-            for (SocketChannel s = javaChannel().accept(); s != null; s = javaChannel().accept()) {
+            for (SocketChannel s = javaChannel().accept();
+                    s != null;
+                    s = javaChannel().accept()) {
                 pipeline().fireChannelRead(new NioSocketChannel(this, s));
             }
         } catch (IOException e) {
--- a/src/main/java/caperrudder/net/Fatal.java
+++ b/src/main/java/caperrudder/net/Fatal.java
@@ -10,7 +10,7 @@
     private static final String DIRECT = "direct";
     private static volatile boolean armed; // before, the process is somebody else's
 
-    private Fatal() { }
+    private Fatal() {}
 
     /** To be called by the main thread of a process that is nothing but a gateway. */
     static void arm() {
@@ -36,7 +36,9 @@
 
     /** Memory beside the heap that has run out costs one connection, and is there again once that is closed. */
     private static boolean isOfBuffers(Throwable t) {
-        return t instanceof OutOfMemoryError && t.getMessage() != null && t.getMessage().contains(DIRECT);
+        return t instanceof OutOfMemoryError
+                && t.getMessage() != null
+                && t.getMessage().contains(DIRECT);
     }
 
     private static void end(Throwable thrown) {
--- a/src/main/java/caperrudder/net/Figures.java
+++ b/src/main/java/caperrudder/net/Figures.java
@@ -9,7 +9,7 @@
  */
 record Figures(List<Ended> classes, long sends, long current, Cluster cluster) {
     /** How the requests of one class ended. */
-    record Ended(String name, long answered, long deferred, long errored) { }
+    record Ended(String name, long answered, long deferred, long errored) {}
 
     /** In the text form that scrapers of figures read. */
     String text() {
--- a/src/main/java/caperrudder/net/HandoverFiles.java
+++ b/src/main/java/caperrudder/net/HandoverFiles.java
@@ -19,7 +19,7 @@
     private static final Pattern CLAIM = Pattern.compile("1 (\\d{1,18}) (true|false)\n");
 
     /** The process that started last, and whether it takes clients. */
-    record Claim(long process, boolean serving) { }
+    record Claim(long process, boolean serving) {}
 
     private final Path claim;
     private final Path books;
@@ -53,7 +53,8 @@
     }
 
     private static void write(Path to, byte[] bytes) throws IOException {
-        Path beside = to.resolveSibling(to.getFileName() + "." + ProcessHandle.current().pid());
+        Path beside = to.resolveSibling(
+                to.getFileName() + "." + ProcessHandle.current().pid());
         Files.write(beside, bytes);
         Files.move(beside, to, StandardCopyOption.ATOMIC_MOVE);
     }
--- a/src/main/java/caperrudder/net/HostClient.java
+++ b/src/main/java/caperrudder/net/HostClient.java
@@ -51,8 +51,8 @@
 
     HostClient(Node node) {
         this.node = node;
-        this.bootstrap = node.transport.client(node.loop)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, node.config.connectTimeoutMs()));
+        this.bootstrap = node.transport.client(node.loop).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                Math.max(1, node.config.connectTimeoutMs()));
         node.loop.schedule(this::closeIdle, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -62,6 +62,7 @@
         final double startedMs;
         /** The last used at the end; it begins small, since a gateway asks few of the hosts in a long list. */
         final ArrayDeque<HostConnection> idle = new ArrayDeque<>(0);
+
         boolean closed;
         boolean draining;
 
@@ -112,7 +113,9 @@
             String id = e.host().id();
             named.add(id);
             Pool old = pools.get(id);
-            boolean same = old != null && old.address.equals(e.address()) && old.startedMs == e.host().startedMs();
+            boolean same = old != null
+                    && old.address.equals(e.address())
+                    && old.startedMs == e.host().startedMs();
             if (e.host().state() == HostState.GONE) {
                 pools.remove(id);
                 close(old);
@@ -229,23 +232,31 @@
             void ended(Outcome outcome, FullHttpResponse response) {
                 if (!over) {
                     over = true;
-                    node.probed(host, outcome, node.clock.now() - sentAt, response == null ? new double[0]
-                            : parse(response.content().toString(StandardCharsets.US_ASCII)));
+                    node.probed(
+                            host,
+                            outcome,
+                            node.clock.now() - sentAt,
+                            response == null
+                                    ? new double[0]
+                                    : parse(response.content().toString(StandardCharsets.US_ASCII)));
                 }
             }
         };
         start(host, probe, c -> {
-            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
-                    Unpooled.EMPTY_BUFFER);
+            FullHttpRequest message =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
             message.headers().set(HttpHeaderNames.HOST, HOST);
             c.write(probe, message);
         });
-        node.loop.schedule(() -> {
-            if (probe.under()) {
-                probe.abandon();
-                probe.ended(Outcome.TIMEOUT, null);
-            }
-        }, (long) PROBE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        node.loop.schedule(
+                () -> {
+                    if (probe.under()) {
+                        probe.abandon();
+                        probe.ended(Outcome.TIMEOUT, null);
+                    }
+                },
+                (long) PROBE_TIMEOUT_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void start(String host, HostConnection.Exchange x, Message message) {
@@ -275,12 +286,15 @@
         connections++;
         HostConnection c = new HostConnection(pool, node.clock, node.budget);
         c.await(x);
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                c.attach(ch);
-            }
-        }).connect(node.transport.at(pool.address));
+        ChannelFuture connecting = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        c.attach(ch);
+                    }
+                })
+                .connect(node.transport.at(pool.address));
         connecting.addListener(f -> {
             if (!f.isSuccess()) { // also where no descriptor was left: that is told at once and on another thread
                 node.loop.execute(() -> {
@@ -333,6 +347,8 @@
                 return new double[0];
             }
         }
-        return told.keySet().containsAll(names) ? names.stream().mapToDouble(told::get).toArray() : new double[0];
+        return told.keySet().containsAll(names)
+                ? names.stream().mapToDouble(told::get).toArray()
+                : new double[0];
     }
 }
--- a/src/main/java/caperrudder/net/HostConnection.java
+++ b/src/main/java/caperrudder/net/HostConnection.java
@@ -89,10 +89,10 @@
         }
 
         /** Its last byte has left for the host. */
-        void written() { }
+        void written() {}
 
         /** A part of a body that is kept nowhere has left. */
-        void bodyLeft() { }
+        void bodyLeft() {}
 
         /** The head of an answer too long to be held: whether its parts are taken as they come. */
         boolean begun(HttpResponse head) {
@@ -319,7 +319,8 @@
         head = response;
         boolean ahead = isInterim();
         long length = HttpUtil.getContentLength(response, -1L);
-        if (length > ClientServer.MAX_BODY || ahead && ++interim > INTERIM_MAX
+        if (length > ClientServer.MAX_BODY
+                || ahead && ++interim > INTERIM_MAX
                 || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             spoilt();
         }
@@ -328,7 +329,8 @@
 
     /** Whether its own framing says where the answer ends; else the connection's end does. */
     private boolean bounded() {
-        return HttpUtil.isTransferEncodingChunked(head) || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+        return HttpUtil.isTransferEncodingChunked(head)
+                || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 || head.status().equals(HttpResponseStatus.NO_CONTENT)
                 || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
     }
@@ -336,8 +338,12 @@
     /** Goes on with the answer as it comes; one that is not served has told all with its head. */
     private void pass() {
         if (!head.status().equals(HttpResponseStatus.OK)) {
-            FullHttpResponse told = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(),
-                    Unpooled.EMPTY_BUFFER, head.headers(), EmptyHttpHeaders.INSTANCE);
+            FullHttpResponse told = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    head.status(),
+                    Unpooled.EMPTY_BUFFER,
+                    head.headers(),
+                    EmptyHttpHeaders.INSTANCE);
             end(outcome(told), told);
             close();
         } else if (exchange.begun(head)) {
@@ -393,8 +399,8 @@
                 close();
             }
         } else {
-            FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body,
-                    head.headers(), EmptyHttpHeaders.INSTANCE);
+            FullHttpResponse whole = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, head.status(), body, head.headers(), EmptyHttpHeaders.INSTANCE);
             clean = written && bounded() && HttpUtil.isKeepAlive(head) && !decoder.leftOver();
             body = Unpooled.EMPTY_BUFFER;
             try {
@@ -437,26 +443,30 @@
     }
 
     private void watch(Exchange x, double afterMs) {
-        stall = channel.eventLoop().schedule(() -> {
-            stall = null;
-            if (exchange != x || !begun) {
-                return;
-            }
-            double now = clock.now();
-            progressAt = channel.config().isAutoRead() ? progressAt : now;
-            double quiet = now - progressAt;
-            double limit = passing ? PASSED_STALL_MS : STALL_MS;
-            if (quiet >= limit) {
-                spoilt();
-                return;
-            }
-            if (!passing && head != null && !isInterim() && now - begunAt > HOLD_MS) {
-                pass();
-            }
-            if (exchange == x) {
-                watch(x, Math.max(1, limit - quiet));
-            }
-        }, (long) afterMs, TimeUnit.MILLISECONDS);
+        stall = channel.eventLoop()
+                .schedule(
+                        () -> {
+                            stall = null;
+                            if (exchange != x || !begun) {
+                                return;
+                            }
+                            double now = clock.now();
+                            progressAt = channel.config().isAutoRead() ? progressAt : now;
+                            double quiet = now - progressAt;
+                            double limit = passing ? PASSED_STALL_MS : STALL_MS;
+                            if (quiet >= limit) {
+                                spoilt();
+                                return;
+                            }
+                            if (!passing && head != null && !isInterim() && now - begunAt > HOLD_MS) {
+                                pass();
+                            }
+                            if (exchange == x) {
+                                watch(x, Math.max(1, limit - quiet));
+                            }
+                        },
+                        (long) afterMs,
+                        TimeUnit.MILLISECONDS);
     }
 
     private static Outcome outcome(FullHttpResponse response) {
--- a/src/main/java/caperrudder/net/HostList.java
+++ b/src/main/java/caperrudder/net/HostList.java
@@ -12,7 +12,7 @@
  */
 public record HostList(long version, boolean full, List<Entry> entries) {
     /** A host with the address at which this api gateway reaches it; null where it is gone or was not told. */
-    public record Entry(Host host, InetSocketAddress address) { }
+    public record Entry(Host host, InetSocketAddress address) {}
 
     /** The list takes more memory than there is for it. */
     public static final class TooLong extends java.io.IOException {
--- a/src/main/java/caperrudder/net/HostListBuilder.java
+++ b/src/main/java/caperrudder/net/HostListBuilder.java
@@ -1,11 +1,11 @@
 package caperrudder.net;
 
+import caperrudder.Gateway.Host;
+import caperrudder.Gateway.HostState;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
-import caperrudder.Gateway.Host;
-import caperrudder.Gateway.HostState;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -26,6 +26,7 @@
      * 160,000 by one of 200 MB.
      */
     static final int HOST_BYTES = 1100;
+
     private static final long HEAP_RESERVE_BYTES = 14 << 20; // for the program itself and what is on its way through
     private static final long LEAST_BYTES = 1 << 20;
     private static final int LETTER_BYTES = 2;
@@ -33,7 +34,13 @@
     private static final long NO_VERSION = -1;
 
     /** Where in the text the next token stands. */
-    private enum Place { BEFORE, LIST, SERVERS, ENTRY, AFTER }
+    private enum Place {
+        BEFORE,
+        LIST,
+        SERVERS,
+        ENTRY,
+        AFTER
+    }
 
     private final long limitBytes;
     private final Map<String, String> shared = new HashMap<>();
@@ -97,8 +104,7 @@
         if (noted > NOTED_MAX) {
             Node.log("discovery: " + (noted - NOTED_MAX) + " more entries that can't be read");
         }
-        return entries == null ? null
-                : new HostList(Math.max(NO_VERSION, version.asLong(NO_VERSION)), full, entries);
+        return entries == null ? null : new HostList(Math.max(NO_VERSION, version.asLong(NO_VERSION)), full, entries);
     }
 
     void take(JsonParser parser, JsonToken token) throws IOException {
@@ -115,7 +121,7 @@
                 case LIST -> ofList(parser, token);
                 case SERVERS -> ofServers(token);
                 case ENTRY -> ofEntry(parser, token);
-                case AFTER -> { }
+                case AFTER -> {}
             }
         }
     }
@@ -148,7 +154,7 @@
             }
             case "version" -> version = value;
             case "full" -> full = value.asBoolean();
-            default -> { }
+            default -> {}
         }
     }
 
@@ -180,7 +186,7 @@
             case "state" -> state = value;
             case "weight" -> weight = value;
             case "started_ms" -> startedMs = value;
-            default -> { }
+            default -> {}
         }
     }
 
@@ -226,8 +232,8 @@
             return;
         }
         bytes += HOST_BYTES + (long) LETTER_BYTES * name.length();
-        Host host = new Host(name, share(zone), share(kind), cell.asInt(), heard, weight.asDouble(1),
-                startedMs.asDouble());
+        Host host =
+                new Host(name, share(zone), share(kind), cell.asInt(), heard, weight.asDouble(1), startedMs.asDouble());
         if (bytes > limitBytes) {
             throw new HostList.TooLong("its first " + entries.size() + " hosts fill the " + limitBytes
                     + " bytes that memory allows for it");
--- a/src/main/java/caperrudder/net/HostListReader.java
+++ b/src/main/java/caperrudder/net/HostListReader.java
@@ -18,8 +18,10 @@
     private static final int TEXT_MAX = 1 << 20; // letters of one string, of whatever field
     // Names are not kept beyond a list: of a list that names its hosts in fields there would be no end of them.
     private static final JsonFactory FACTORY = new JsonFactoryBuilder()
-            .streamReadConstraints(StreamReadConstraints.builder().maxStringLength(TEXT_MAX).build())
-            .disable(JsonFactory.Feature.INTERN_FIELD_NAMES).build();
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxStringLength(TEXT_MAX).build())
+            .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+            .build();
 
     private final HostListBuilder builder;
     private final JsonParser parser;
@@ -66,7 +68,8 @@
     }
 
     private HostList.TooLong refused(String why) {
-        String size = announced > 0 ? "a list of " + announced + " bytes is refused: "
+        String size = announced > 0
+                ? "a list of " + announced + " bytes is refused: "
                 : "a list is refused, of which " + came + " bytes came: ";
         return new HostList.TooLong(size + why);
     }
@@ -113,8 +116,10 @@
         }
         HostList list = builder.isWhole() ? builder.build() : null;
         if (list == null || !builder.isVersioned()) {
-            throw new IOException(builder.isWhole() || came == 0 ? "a list without a version or without hosts"
-                    : "the text ends inside a list");
+            throw new IOException(
+                    builder.isWhole() || came == 0
+                            ? "a list without a version or without hosts"
+                            : "the text ends inside a list");
         }
         return list;
     }
--- a/src/main/java/caperrudder/net/JsonTree.java
+++ b/src/main/java/caperrudder/net/JsonTree.java
@@ -21,7 +21,7 @@
     private static final JsonFactory FACTORY = new JsonFactory();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
-    private JsonTree() { }
+    private JsonTree() {}
 
     /** Takes fields of the outermost object that are not to become part of its tree. */
     interface Branch {
@@ -37,7 +37,8 @@
     static JsonNode read(InputStream text, Branch branch) throws IOException {
         try (JsonParser parser = FACTORY.createParser(text)) {
             JsonToken first = parser.nextToken();
-            return first == null ? MissingNode.getInstance()
+            return first == null
+                    ? MissingNode.getInstance()
                     : first == JsonToken.START_OBJECT ? object(parser, branch) : value(parser, first);
         }
     }
@@ -63,7 +64,8 @@
                 return NODES.textNode(parser.getText());
             case VALUE_NUMBER_INT:
                 return parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                        ? NODES.numberNode(parser.getBigIntegerValue()) : NODES.numberNode(parser.getLongValue());
+                        ? NODES.numberNode(parser.getBigIntegerValue())
+                        : NODES.numberNode(parser.getLongValue());
             case VALUE_NUMBER_FLOAT:
                 return NODES.numberNode(parser.getDoubleValue());
             case VALUE_TRUE:
--- a/src/main/java/caperrudder/net/LoopLag.java
+++ b/src/main/java/caperrudder/net/LoopLag.java
@@ -24,10 +24,13 @@
     /** On the event loop. */
     void start() {
         due = clock.now() + BEAT_MS;
-        loop.schedule(() -> {
-            last = clock.now() - due;
-            start();
-        }, BEAT_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    last = clock.now() - due;
+                    start();
+                },
+                BEAT_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** The lateness of the last beat, or of the next one where that is overdue by more. */
--- a/src/main/java/caperrudder/net/Node.java
+++ b/src/main/java/caperrudder/net/Node.java
@@ -128,8 +128,9 @@
             node.openSecondAddress();
             node.loop.execute(node.peers::start);
             succession.begin();
-            log("warm after " + WarmUp.run(config, WarmUp.ENOUGH, succession.warmUpMs(WarmUp.PATIENCE_MS),
-                    node::isMissed) + " answers");
+            log("warm after "
+                    + WarmUp.run(config, WarmUp.ENOUGH, succession.warmUpMs(WarmUp.PATIENCE_MS), node::isMissed)
+                    + " answers");
             if (node.start(succession.left())) {
                 succession.serving();
                 reload.follow(node);
@@ -149,12 +150,15 @@
     private boolean start(Books left) throws IOException {
         try {
             loop.submit(() -> {
-                if (!peers.started()) {
-                    peers.start();
-                }
-                begin(left);
-                return discovery.start(FIRST_LIST_MS);
-            }).sync().getNow().sync(); // what the agent holds counts as told before the first client comes
+                        if (!peers.started()) {
+                            peers.start();
+                        }
+                        begin(left);
+                        return discovery.start(FIRST_LIST_MS);
+                    })
+                    .sync()
+                    .getNow()
+                    .sync(); // what the agent holds counts as told before the first client comes
             ChannelFuture bound = loop.submit(this::open).sync().getNow();
             if (bound != null) {
                 bound.sync();
@@ -194,7 +198,8 @@
 
     private void renewFigures() {
         loop.schedule(this::renewFigures, FIGURES_MS, TimeUnit.MILLISECONDS);
-        long current = open.values().stream().filter(r -> !r.closed() && r.isWhole()).count();
+        long current =
+                open.values().stream().filter(r -> !r.closed() && r.isWhole()).count();
         figures = new Figures(tally.classes(), tally.sends(), current, module.cluster(clock.now()));
     }
 
@@ -247,10 +252,10 @@
             }
 
             @Override
-            public void flush() { }
+            public void flush() {}
 
             @Override
-            public void close() { }
+            public void close() {}
         });
     }
 
@@ -369,7 +374,8 @@
 
     /** Rule 1: attempts end with the client's time, and what the module then leaves unanswered fails here. */
     private void deadline(OpenRequest r) {
-        if (r.passing != null && (r.closed() || r.passing.isLong() || !r.client().takes())) {
+        if (r.passing != null
+                && (r.closed() || r.passing.isLong() || !r.client().takes())) {
             return; // the first bytes came in time, and the rest has the client's
         }
         endAttempts(r); // a short answer that goes on and on is none: its client sees that it is not whole
@@ -437,8 +443,8 @@
         OpenRequest r = a.owner;
         r.out--;
         if (r.passing == a) {
-            ClientServer.Connection client = r.close(tally, outcome == Outcome.OK ? Tally.End.ANSWERED
-                    : Tally.End.ERRORED);
+            ClientServer.Connection client =
+                    r.close(tally, outcome == Outcome.OK ? Tally.End.ANSWERED : Tally.End.ERRORED);
             if (client != null) {
                 client.end(outcome == Outcome.OK);
             }
@@ -453,8 +459,8 @@
         HttpResponse told = a.told(response);
         double[] report = told == null ? NO_REPORT : hosts.report(told);
         int used = told == null ? 0 : HostClient.used(told);
-        tell((now, m) -> m.attemptEnded(now,
-                new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, used, 0, report)));
+        tell((now, m) -> m.attemptEnded(
+                now, new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, used, 0, report)));
         forgetIfOver(r);
     }
 
@@ -503,16 +509,21 @@
         if (!isAwaited(r)) {
             clientLeft(r); // no news yet where it is told only by what stands in the socket
         }
-        if (over || r.closed() || r.isWhole() && now >= r.deadlineMs()
+        if (over
+                || r.closed()
+                || r.isWhole() && now >= r.deadlineMs()
                 || a.number >= config.settings().limits().maxAttempts()) {
             attemptEnded(a, Outcome.MOOT, null);
             return;
         }
         if (timeoutMs > 0) {
-            a.limit(loop.schedule(() -> {
-                a.abandon();
-                attemptEnded(a, Outcome.TIMEOUT, null);
-            }, micros(timeoutMs), TimeUnit.MICROSECONDS));
+            a.limit(loop.schedule(
+                    () -> {
+                        a.abandon();
+                        attemptEnded(a, Outcome.TIMEOUT, null);
+                    },
+                    micros(timeoutMs),
+                    TimeUnit.MICROSECONDS));
         }
         hosts.send(a);
     }
@@ -571,7 +582,7 @@
 
     /** Discovery is always watched. */
     @Override
-    public void watchHosts() { }
+    public void watchHosts() {}
 
     // ---- the end
 
@@ -633,7 +644,8 @@
     void endAll() {
         over = true;
         clients.closeUnfinished();
-        for (OpenRequest r : open.values().stream().filter(o -> o.passing == null).toList()) {
+        for (OpenRequest r :
+                open.values().stream().filter(o -> o.passing == null).toList()) {
             endAttempts(r); // the module refuses or fails it, as its further attempts are void now
         }
         for (OpenRequest r : List.copyOf(open.values())) {
--- a/src/main/java/caperrudder/net/NodeConfig.java
+++ b/src/main/java/caperrudder/net/NodeConfig.java
@@ -1,12 +1,12 @@
 package caperrudder.net;
 
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.databind.JsonNode;
 import caperrudder.Gateway.Settings;
 import caperrudder.wire.Fields;
 import caperrudder.wire.SettingsReader;
 import caperrudder.wire.WireFault;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.io.InputStream;
@@ -25,9 +25,20 @@
  * What this api gateway was told at its start; anything missing or malformed is a {@link BadConfig}. {@code known} is
  * null where no list was told, or one too long.
  */
-record NodeConfig(InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
-        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, int sockets, int memoryMb, HostList known, Settings settings,
-        double connectTimeoutMs, double idleMs, int maxOpen) {
+record NodeConfig(
+        InetSocketAddress listen,
+        InetSocketAddress admin,
+        InetSocketAddress discovery,
+        InetSocketAddress peerListen,
+        List<InetSocketAddress> peers,
+        InetSocketAddress peersAll,
+        int sockets,
+        int memoryMb,
+        HostList known,
+        Settings settings,
+        double connectTimeoutMs,
+        double idleMs,
+        int maxOpen) {
     private static final String KNOWN = "known";
     private static final int PORT_MAX = 65_535;
     private static final int HEX = 16;
@@ -62,7 +73,8 @@
         try (InputStream text = Files.newInputStream(Path.of(file))) {
             return read(text, withKnown);
         } catch (IOException e) {
-            throw new BadConfig("can't read " + file + ": " + e.getMessage().lines().findFirst().orElse(""));
+            throw new BadConfig("can't read " + file + ": "
+                    + e.getMessage().lines().findFirst().orElse(""));
         } catch (WireFault | IllegalArgumentException e) {
             throw new BadConfig(file + ": " + e.getMessage());
         }
@@ -70,13 +82,15 @@
 
     static NodeConfig read(InputStream text, boolean withKnown) throws IOException {
         HostList[] known = new HostList[1];
-        return of(JsonTree.read(text, (field, at) -> {
-            if (field.equals(KNOWN)) {
-                known[0] = withKnown ? known(at) : null;
-                return withKnown || at.skipChildren() != null;
-            }
-            return false;
-        }), known[0]);
+        return of(
+                JsonTree.read(text, (field, at) -> {
+                    if (field.equals(KNOWN)) {
+                        known[0] = withKnown ? known(at) : null;
+                        return withKnown || at.skipChildren() != null;
+                    }
+                    return false;
+                }),
+                known[0]);
     }
 
     /** Read without a tree, since it may be longer than all else by far; null where there is none, or too long a one. */
@@ -87,7 +101,8 @@
             return HostListBuilder.read(at, HostListReader.limitBytes());
         } catch (HostList.TooLong e) {
             JsonToken token = at.currentToken();
-            while (token != null && !(token.isStructEnd() && at.getParsingContext().getNestingDepth() < depth)) {
+            while (token != null
+                    && !(token.isStructEnd() && at.getParsingContext().getNestingDepth() < depth)) {
                 token = at.nextToken();
             }
             Node.log("caperrudder: the list in '" + KNOWN + "' is refused, which is "
@@ -98,8 +113,20 @@
 
     /** Without the list of hosts, once it has been told: it would stay in memory as long as this. */
     NodeConfig withoutKnown() {
-        return new NodeConfig(listen, admin, discovery, peerListen, peers, peersAll, sockets, memoryMb, null, settings,
-                connectTimeoutMs, idleMs, maxOpen);
+        return new NodeConfig(
+                listen,
+                admin,
+                discovery,
+                peerListen,
+                peers,
+                peersAll,
+                sockets,
+                memoryMb,
+                null,
+                settings,
+                connectTimeoutMs,
+                idleMs,
+                maxOpen);
     }
 
     /** With a second address that was told to this process alone, where it was told one. */
@@ -108,8 +135,20 @@
             return this;
         }
         try {
-            return new NodeConfig(listen, address(address), discovery, peerListen, peers, peersAll, sockets, memoryMb,
-                    known, settings, connectTimeoutMs, idleMs, maxOpen);
+            return new NodeConfig(
+                    listen,
+                    address(address),
+                    discovery,
+                    peerListen,
+                    peers,
+                    peersAll,
+                    sockets,
+                    memoryMb,
+                    known,
+                    settings,
+                    connectTimeoutMs,
+                    idleMs,
+                    maxOpen);
         } catch (IllegalArgumentException e) {
             throw new BadConfig("NODE_ADMIN_ADDR: " + e.getMessage());
         }
@@ -135,12 +174,17 @@
             peers.add(address(peer.asText()));
         }
         boolean mail = settings.limits().peers() && root.hasNonNull("peer_listen");
-        return new NodeConfig(address(text(root, "listen")),
+        return new NodeConfig(
+                address(text(root, "listen")),
                 root.hasNonNull("admin_addr") ? address(text(root, "admin_addr")) : null,
-                address(text(root, "discovery")), mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
+                address(text(root, "discovery")),
+                mail ? address(text(root, "peer_listen")) : null,
+                List.copyOf(peers),
                 root.hasNonNull("peers_all") ? address(text(root, "peers_all")) : null,
                 root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS),
-                root.path("limits").path("memory_mb").asInt(DEFAULT_MEMORY_MB), known, settings,
+                root.path("limits").path("memory_mb").asInt(DEFAULT_MEMORY_MB),
+                known,
+                settings,
                 fields.number("limits.connect_timeout_ms", DEFAULT_CONNECT_MS),
                 fields.number("limits.conn_idle_ms", DEFAULT_IDLE_MS),
                 (int) fields.number("limits.max_open", DEFAULT_MAX_OPEN));
--- a/src/main/java/caperrudder/net/PeerLink.java
+++ b/src/main/java/caperrudder/net/PeerLink.java
@@ -36,13 +36,18 @@
             return;
         }
         // One byte more than a message may have shows which ones are too long.
-        channel = new Bootstrap().group(node.loop).channel(NioDatagramChannel.class).handler(this)
+        channel = new Bootstrap()
+                .group(node.loop)
+                .channel(NioDatagramChannel.class)
+                .handler(this)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_BYTES + 1))
-                .bind(node.config.peerListen()).addListener(f -> {
+                .bind(node.config.peerListen())
+                .addListener(f -> {
                     if (!f.isSuccess()) {
                         Node.log("no messages from peers: " + f.cause().getMessage());
                     }
-                }).channel();
+                })
+                .channel();
     }
 
     boolean started() {
@@ -56,8 +61,11 @@
 
     @Override
     public void send(int peer, byte[] data) {
-        InetSocketAddress to = peer == EVERYONE ? node.config.peersAll()
-                : peer >= 0 && peer < node.config.peers().size() ? node.config.peers().get(peer) : null;
+        InetSocketAddress to = peer == EVERYONE
+                ? node.config.peersAll()
+                : peer >= 0 && peer < node.config.peers().size()
+                        ? node.config.peers().get(peer)
+                        : null;
         if (channel == null || to == null || data.length > MAX_BYTES) {
             return;
         }
--- a/src/main/java/caperrudder/net/Rehearsal.java
+++ b/src/main/java/caperrudder/net/Rehearsal.java
@@ -18,7 +18,8 @@
     private static final int ENOUGH = 64; // bytes that hold a status line
     private static final int PATIENCE_MS = 10_000;
     private static final long BUILD_PATIENCE_MS = 60_000; // a build's machine may be slow, but a stall fails it
-    private static final String CONFIG = """
+    private static final String CONFIG =
+            """
             {"name": "rehearsal", "listen": "%1$s", "discovery": "%1$s", "seed": "1", "peer_listen": "%1$s",
              "peers": ["%1$s", "%1$s"], "known": {"version": 1, "full": true, "servers": [{"id": "self",
                "addr": "%1$s", "zone": "a", "kind": "k", "cell": 0, "state": "ready", "weight": 1,
@@ -33,7 +34,7 @@
             + "X-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: 600\r\nX-Quota: units=1,spread=%d,first=0\r\n"
             + "Connection: close\r\n\r\n";
 
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /** Returns when all has been gone through. */
     public static void run() throws IOException, InterruptedException {
@@ -73,7 +74,8 @@
         Succession succession = new Succession(node, shared.toString(), node.clock);
         succession.begin();
         succession.serving();
-        if (succession.left() != null || succession.isSucceeded()
+        if (succession.left() != null
+                || succession.isSucceeded()
                 || BooksFormat.read(BooksFormat.write(node.books())) == null) {
             throw new IOException("books can't be read");
         }
--- a/src/main/java/caperrudder/net/RequestBody.java
+++ b/src/main/java/caperrudder/net/RequestBody.java
@@ -31,7 +31,7 @@
     }
 
     static RequestBody held(ByteBuf body) {
-        return new RequestBody(body, 0, () -> { });
+        return new RequestBody(body, 0, () -> {});
     }
 
     /** {@code room} is run when a body that was full no longer is. */
--- a/src/main/java/caperrudder/net/RequestReader.java
+++ b/src/main/java/caperrudder/net/RequestReader.java
@@ -35,13 +35,16 @@
     private static final double BODY_BYTES_PER_MS = 32; // slowest pace of a body: half of what true clients keep
 
     /** In the place of a request: the connection ends with this answer. */
-    record Unreadable(HttpResponseStatus status) { }
+    record Unreadable(HttpResponseStatus status) {}
 
     /** A request of which the body is on its way: its parts go to the body as they come. */
-    record Arriving(HttpRequest head, RequestBody body) { }
+    record Arriving(HttpRequest head, RequestBody body) {}
 
     /** The client sends the body only once it is told that its head was read. */
-    enum Asks { TO_GO_ON, BODY_CAME }
+    enum Asks {
+        TO_GO_ON,
+        BODY_CAME
+    }
 
     private final Clock clock;
     private final Valve valve;
@@ -113,8 +116,9 @@
         if (since == NONE) {
             return false;
         }
-        return head == null && arriving == null ? now - since > HEAD_MS : now - progressAt > BODY_GRACE_MS
-                || now - since - BODY_GRACE_MS > bodyBytes / BODY_BYTES_PER_MS;
+        return head == null && arriving == null
+                ? now - since > HEAD_MS
+                : now - progressAt > BODY_GRACE_MS || now - since - BODY_GRACE_MS > bodyBytes / BODY_BYTES_PER_MS;
     }
 
     /** What came of a body that has more to come, or null. */
@@ -137,8 +141,11 @@
                 return;
             }
             if (fault != null) {
-                refuse(ctx, fault instanceof TooLongFrameException ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                        : HttpResponseStatus.BAD_REQUEST);
+                refuse(
+                        ctx,
+                        fault instanceof TooLongFrameException
+                                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                                : HttpResponseStatus.BAD_REQUEST);
                 return;
             }
             if (message instanceof HttpRequest) {
@@ -157,7 +164,7 @@
         resume();
         boolean known = request.protocolVersion().equals(HttpVersion.HTTP_1_1)
                 || request.protocolVersion().equals(HttpVersion.HTTP_1_0)
-                && !HttpUtil.isTransferEncodingChunked(request);
+                        && !HttpUtil.isTransferEncodingChunked(request);
         if (!known) {
             refuse(ctx, HttpResponseStatus.BAD_REQUEST);
         } else if (HttpUtil.getContentLength(request, 0L) > ClientServer.MAX_BODY) {
@@ -192,8 +199,8 @@
         }
         body = joined(ctx, body, content.content());
         if (content instanceof LastHttpContent) {
-            DefaultFullHttpRequest whole = new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
-                    head.uri(), body, head.headers(), EmptyHttpHeaders.INSTANCE);
+            DefaultFullHttpRequest whole = new DefaultFullHttpRequest(
+                    head.protocolVersion(), head.method(), head.uri(), body, head.headers(), EmptyHttpHeaders.INSTANCE);
             head = null;
             body = Unpooled.EMPTY_BUFFER;
             since = decoder.leftOver() ? clock.now() : NONE;
@@ -245,7 +252,8 @@
             body.release();
             return part.retain();
         }
-        CompositeByteBuf all = body instanceof CompositeByteBuf ? (CompositeByteBuf) body
+        CompositeByteBuf all = body instanceof CompositeByteBuf
+                ? (CompositeByteBuf) body
                 : ctx.alloc().compositeBuffer().addComponent(true, body);
         return all.addComponent(true, part.retain());
     }
--- a/src/main/java/caperrudder/net/RequestTerms.java
+++ b/src/main/java/caperrudder/net/RequestTerms.java
@@ -27,8 +27,8 @@
     static final AsciiString RETRY = AsciiString.cached("X-Second-Try");
     static final AsciiString KEY = AsciiString.cached("Idempotency-Key");
     /** Of these a request says one thing or nothing. */
-    static final List<AsciiString> SINGLE = List.of(HttpHeaderNames.HOST, ID, PLAN, CUSTOMER, EXPIRES, QUOTA, RETRY,
-            KEY);
+    static final List<AsciiString> SINGLE =
+            List.of(HttpHeaderNames.HOST, ID, PLAN, CUSTOMER, EXPIRES, QUOTA, RETRY, KEY);
 
     private static final double MARGIN_MS = 20; // the answer must reach the client within its time
     private static final int HEX = 16;
@@ -59,7 +59,11 @@
         String id = h.get(ID);
         long customer = customer(h.get(CUSTOMER));
         double left = plain(h.get(EXPIRES), false);
-        if (cls == null || !plans.containsKey(plan) || !isName(id) || customer < 0 || left <= 0
+        if (cls == null
+                || !plans.containsKey(plan)
+                || !isName(id)
+                || customer < 0
+                || left <= 0
                 || !fits(cls, message, body)) {
             return null;
         }
@@ -69,17 +73,35 @@
         double first = field(quota, "first", false);
         int gateways = settings.gateways();
         // A set that this gateway does not belong to would have it ask keepers that must not answer.
-        boolean right = units > 0 && units <= settings.sharing().maxUnits() && spread >= 1 && spread <= gateways
-                && first >= 0 && first < gateways && Math.floorMod(settings.me() - (int) first, gateways) < spread;
+        boolean right = units > 0
+                && units <= settings.sharing().maxUnits()
+                && spread >= 1
+                && spread <= gateways
+                && first >= 0
+                && first < gateways
+                && Math.floorMod(settings.me() - (int) first, gateways) < spread;
         double waits = Math.min(left, cls.deadlineMs()); // no client of this class waits longer
-        return !right ? null : new Request(id, Math.max(now + 1, arrived + waits - MARGIN_MS), arrived,
-                h.contains(RETRY), cls.name(), customer, plan, units, (int) first, (int) spread, !body.isWhole());
+        return !right
+                ? null
+                : new Request(
+                        id,
+                        Math.max(now + 1, arrived + waits - MARGIN_MS),
+                        arrived,
+                        h.contains(RETRY),
+                        cls.name(),
+                        customer,
+                        plan,
+                        units,
+                        (int) first,
+                        (int) spread,
+                        !body.isWhole());
     }
 
     /** The method and the key of the class; what is safe to repeat has no body, and none may be sent on with it. */
     private static boolean fits(RequestClass cls, HttpRequest message, RequestBody body) {
         if (cls.effect() == Effect.REPEATABLE) {
-            return message.method().equals(HttpMethod.GET) && body.isEmpty()
+            return message.method().equals(HttpMethod.GET)
+                    && body.isEmpty()
                     && !message.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
         }
         return message.method().equals(HttpMethod.POST)
--- a/src/main/java/caperrudder/net/StrictHeaders.java
+++ b/src/main/java/caperrudder/net/StrictHeaders.java
@@ -74,7 +74,9 @@
 
     /** Digits alone, and no nought ahead of them: not all receivers read the rest alike. */
     private static boolean isLength(String text) {
-        return !text.isEmpty() && text.length() <= LENGTH_DIGITS && RequestTerms.isWithin(text, '0', '9')
+        return !text.isEmpty()
+                && text.length() <= LENGTH_DIGITS
+                && RequestTerms.isWithin(text, '0', '9')
                 && (text.length() == 1 || text.charAt(0) != '0');
     }
 }
--- a/src/main/java/caperrudder/net/Succession.java
+++ b/src/main/java/caperrudder/net/Succession.java
@@ -61,7 +61,10 @@
         if (predecessor == 0) {
             return longest;
         }
-        double startedMs = ProcessHandle.current().info().startInstant().map(i -> (double) i.toEpochMilli())
+        double startedMs = ProcessHandle.current()
+                .info()
+                .startInstant()
+                .map(i -> (double) i.toEpochMilli())
                 .orElse(clock.now());
         return Math.max(0, Math.min(longest, (long) (startedMs + YES_MS - clock.now())));
     }
--- a/src/main/java/caperrudder/net/Tally.java
+++ b/src/main/java/caperrudder/net/Tally.java
@@ -11,7 +11,11 @@
 /** The counts of one process, from 0 at its start. On the event loop only. */
 final class Tally {
     /** How a request ended. */
-    enum End { ANSWERED, DEFERRED, ERRORED }
+    enum End {
+        ANSWERED,
+        DEFERRED,
+        ERRORED
+    }
 
     private final Map<String, Map<End, Long>> ends = new LinkedHashMap<>();
     private long sends;
@@ -34,8 +38,11 @@
 
     List<Ended> classes() {
         List<Ended> all = new ArrayList<>(ends.size());
-        ends.forEach((name, n) -> all.add(new Ended(name, n.getOrDefault(End.ANSWERED, 0L),
-                n.getOrDefault(End.DEFERRED, 0L), n.getOrDefault(End.ERRORED, 0L))));
+        ends.forEach((name, n) -> all.add(new Ended(
+                name,
+                n.getOrDefault(End.ANSWERED, 0L),
+                n.getOrDefault(End.DEFERRED, 0L),
+                n.getOrDefault(End.ERRORED, 0L))));
         return all;
     }
 }
--- a/src/main/java/caperrudder/net/Transport.java
+++ b/src/main/java/caperrudder/net/Transport.java
@@ -25,9 +25,12 @@
     TCP {
         @Override
         ServerBootstrap server(EventLoopGroup group) {
-            return new ServerBootstrap().group(group).channelFactory(DrainableListener::new)
+            return new ServerBootstrap()
+                    .group(group)
+                    .channelFactory(DrainableListener::new)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                    .option(ChannelOption.RCVBUF_ALLOCATOR, accepting()).option(ChannelOption.SO_REUSEADDR, true)
+                    .option(ChannelOption.RCVBUF_ALLOCATOR, accepting())
+                    .option(ChannelOption.SO_REUSEADDR, true)
                     .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                     .childOption(ChannelOption.TCP_NODELAY, true)
                     .childOption(ChannelOption.RCVBUF_ALLOCATOR, readBuffers());
@@ -35,7 +38,10 @@
 
         @Override
         Bootstrap client(EventLoop loop) {
-            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            return new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.RCVBUF_ALLOCATOR, readBuffers());
         }
 
@@ -84,7 +90,8 @@
 
     /** Closes a listener; over TCP only once all that wait in its queue are taken. */
     static ChannelFuture stopAccepting(Channel listener) {
-        return listener instanceof DrainableListener ? ((DrainableListener) listener).emptyAndClose()
+        return listener instanceof DrainableListener
+                ? ((DrainableListener) listener).emptyAndClose()
                 : listener.close();
     }
 
--- a/src/main/java/caperrudder/net/Valve.java
+++ b/src/main/java/caperrudder/net/Valve.java
@@ -13,7 +13,9 @@
  */
 final class Valve extends ChannelInboundHandlerAdapter {
     /** Told to the handlers behind when all that was kept has gone on and what came after it was read away. */
-    enum Told { CUT_OFF }
+    enum Told {
+        CUT_OFF
+    }
 
     private static final int AHEAD_MIN = 4 * 1024; // bytes kept of each client whose requests wait their turn
     private static final int AHEAD_MAX = 128 * 1024; // while the budget for all of them lasts
@@ -80,7 +82,9 @@
      */
     void look() {
         Channel channel = ctx.channel();
-        if (reading || goingOn || shut && !ahead) { // the latter: a body is on its way, and its end is looked for behind it
+        if (reading
+                || goingOn
+                || shut && !ahead) { // the latter: a body is on its way, and its end is looked for behind it
             return;
         }
         long before = -1;
--- a/src/main/java/caperrudder/net/WarmUp.java
+++ b/src/main/java/caperrudder/net/WarmUp.java
@@ -53,6 +53,7 @@
 final class WarmUp {
     /** Answers after which nearly all that a request needs is compiled: methods are from some 50 calls on. */
     static final int ENOUGH = 60;
+
     static final long PATIENCE_MS = 8000; // at its end a node serves, warm or not
 
     private static final long QUIET_MS = 20; // in which each side hears of the other's end
@@ -72,6 +73,7 @@
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     /** Another loop: what both sides of a channel in memory do on one, they do from inside each other. */
     private final NioEventLoopGroup outside = new NioEventLoopGroup(1);
+
     private final List<Node> nodes = new ArrayList<>();
     private final ChannelGroup clients = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final ChannelGroup hosts = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
@@ -93,7 +95,8 @@
         try {
             warmUp.start();
             long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs);
-            while (!warmUp.left.await(POLL_MS, TimeUnit.MILLISECONDS) && System.nanoTime() < end
+            while (!warmUp.left.await(POLL_MS, TimeUnit.MILLISECONDS)
+                    && System.nanoTime() < end
                     && !enough.getAsBoolean()) {
                 continue;
             }
@@ -101,7 +104,9 @@
         } finally {
             warmUp.close();
             Future<?> ended = warmUp.outside.shutdownGracefully(QUIET_MS, LAST_MS, TimeUnit.MILLISECONDS);
-            warmUp.group.shutdownGracefully(QUIET_MS, LAST_MS, TimeUnit.MILLISECONDS).await();
+            warmUp.group
+                    .shutdownGracefully(QUIET_MS, LAST_MS, TimeUnit.MILLISECONDS)
+                    .await();
             ended.await();
         }
     }
@@ -112,7 +117,7 @@
         clients.close().await();
         group.submit(() -> nodes.forEach(Node::endAll)).await();
         hosts.close().await();
-        group.submit(() -> { }).await();
+        group.submit(() -> {}).await();
     }
 
     private static InetSocketAddress address(int number) {
@@ -129,13 +134,17 @@
             InetSocketAddress at = hostAddress(i);
             list.add(new HostList.Entry(
                     new Host("warm-" + i, config.settings().zone(), "", 0, HostState.RUNNING, 1, 0), at));
-            TRANSPORT.server(outside).childHandler(new ChannelInitializer<>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY),
-                            new StandInHost());
-                }
-            }).bind(TRANSPORT.at(at)).sync();
+            TRANSPORT
+                    .server(outside)
+                    .childHandler(new ChannelInitializer<>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            ch.pipeline()
+                                    .addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY), new StandInHost());
+                        }
+                    })
+                    .bind(TRANSPORT.at(at))
+                    .sync();
         }
         for (int me = 0; me < 2; me++) {
             nodes.add(new Node(of(me), Brain::new, TRANSPORT, group));
@@ -157,23 +166,55 @@
     private NodeConfig of(int me) {
         Settings s = config.settings();
         Sharing sharing = s.sharing();
-        Sharing quick = new Sharing(sharing.counter(), sharing.counterPrice(), sharing.meterPeriodMs(),
-                sharing.postPaid(), sharing.maxUnits(), MAIL_PER_SECOND, sharing.peerPrice(), sharing.probePrice(),
+        Sharing quick = new Sharing(
+                sharing.counter(),
+                sharing.counterPrice(),
+                sharing.meterPeriodMs(),
+                sharing.postPaid(),
+                sharing.maxUnits(),
+                MAIL_PER_SECOND,
+                sharing.peerPrice(),
+                sharing.probePrice(),
                 sharing.zonePrice());
-        Settings settings = new Settings(s.seed(), me, 2, s.zone(), false, s.classes(), s.plans(), s.reportNames(),
-                s.limits(), s.rules(), quick);
-        return new NodeConfig(address(me), null, null, null, List.of(), null, config.sockets(), config.memoryMb(), null,
-                settings, config.connectTimeoutMs(), config.idleMs(), config.maxOpen());
+        Settings settings = new Settings(
+                s.seed(),
+                me,
+                2,
+                s.zone(),
+                false,
+                s.classes(),
+                s.plans(),
+                s.reportNames(),
+                s.limits(),
+                s.rules(),
+                quick);
+        return new NodeConfig(
+                address(me),
+                null,
+                null,
+                null,
+                List.of(),
+                null,
+                config.sockets(),
+                config.memoryMb(),
+                null,
+                settings,
+                config.connectTimeoutMs(),
+                config.idleMs(),
+                config.maxOpen());
     }
 
     private void connect() {
-        TRANSPORT.client(outside.next()).handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY),
-                        new StandInClient());
-            }
-        }).connect(TRANSPORT.at(address(0)));
+        TRANSPORT
+                .client(outside.next())
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline()
+                                .addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY), new StandInClient());
+                    }
+                })
+                .connect(TRANSPORT.at(address(0)));
     }
 
     private final class StandInClient extends SimpleChannelInboundHandler<FullHttpResponse> {
@@ -214,11 +255,16 @@
         List<RequestClass> classes = config.settings().classes();
         RequestClass cls = classes.get(n % classes.size());
         boolean safe = cls.effect() == Effect.REPEATABLE;
-        FullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe ? HttpMethod.GET : HttpMethod.POST,
-                '/' + cls.name() + "/warm", safe ? Unpooled.EMPTY_BUFFER : body.duplicate());
+        FullHttpRequest r = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                safe ? HttpMethod.GET : HttpMethod.POST,
+                '/' + cls.name() + "/warm",
+                safe ? Unpooled.EMPTY_BUFFER : body.duplicate());
         int customer = n % CUSTOMERS;
         List<Plan> plans = config.settings().plans();
-        r.headers().set(HttpHeaderNames.HOST, "warm").set(RequestTerms.ID, Integer.toString(n))
+        r.headers()
+                .set(HttpHeaderNames.HOST, "warm")
+                .set(RequestTerms.ID, Integer.toString(n))
                 .set(RequestTerms.PLAN, plans.get(customer % plans.size()).name())
                 .set(RequestTerms.CUSTOMER, String.format("%016x", customer))
                 .set(RequestTerms.EXPIRES, Integer.toString((int) cls.deadlineMs()))
@@ -243,10 +289,12 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             int fault = served++ % FAULT_EVERY;
-            HttpResponseStatus status = fault == 0 ? HttpResponseStatus.SERVICE_UNAVAILABLE
+            HttpResponseStatus status = fault == 0
+                    ? HttpResponseStatus.SERVICE_UNAVAILABLE
                     : fault == 1 ? HttpResponseStatus.INTERNAL_SERVER_ERROR : HttpResponseStatus.OK;
             FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body.duplicate());
-            answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+            answer.headers()
+                    .setInt(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
             if (fault == 0) {
                 answer.headers().set("X-Never-Ran", "1");
             }
--- a/src/main/java/caperrudder/scale/DiscoveryStandIn.java
+++ b/src/main/java/caperrudder/scale/DiscoveryStandIn.java
@@ -15,7 +15,11 @@
     private static final int CELLS = 16;
     private static final int BYTES_AN_ENTRY = 160;
 
-    enum State { READY, DRAINING, GONE }
+    enum State {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** One host; what it has to do now is kept here, too, for its reports. */
     static final class Entry {
@@ -101,13 +105,27 @@
 
     private byte[] text(List<Entry> told, boolean full) {
         StringBuilder text = new StringBuilder(BYTES_AN_ENTRY * (told.size() + 1));
-        text.append("{\"version\":").append(version).append(",\"full\":").append(full).append(",\"servers\":[");
+        text.append("{\"version\":")
+                .append(version)
+                .append(",\"full\":")
+                .append(full)
+                .append(",\"servers\":[");
         String comma = "\n";
         for (Entry e : told) {
-            text.append(comma).append("{\"id\":\"").append(e.id).append("\",\"addr\":\"").append(e.address)
-                    .append("\",\"zone\":\"").append(e.zone).append("\",\"kind\":\"m2\",\"cell\":").append(e.cell)
-                    .append(",\"state\":\"").append(e.state.name().toLowerCase(Locale.ROOT))
-                    .append("\",\"weight\":1.0,\"started_ms\":").append(e.startedMs).append('}');
+            text.append(comma)
+                    .append("{\"id\":\"")
+                    .append(e.id)
+                    .append("\",\"addr\":\"")
+                    .append(e.address)
+                    .append("\",\"zone\":\"")
+                    .append(e.zone)
+                    .append("\",\"kind\":\"m2\",\"cell\":")
+                    .append(e.cell)
+                    .append(",\"state\":\"")
+                    .append(e.state.name().toLowerCase(Locale.ROOT))
+                    .append("\",\"weight\":1.0,\"started_ms\":")
+                    .append(e.startedMs)
+                    .append('}');
             comma = ",\n";
         }
         return text.append("]}").toString().getBytes(StandardCharsets.US_ASCII);
--- a/src/main/java/caperrudder/scale/Figures.java
+++ b/src/main/java/caperrudder/scale/Figures.java
@@ -51,8 +51,8 @@
     static String text(List<Figure> figures) {
         StringBuilder text = new StringBuilder();
         for (Figure f : figures) {
-            text.append(String.format(Locale.ROOT, "hosts=%-7d %-34s %16s %s%n", f.hosts(), f.name(),
-                    value(f.value()), f.unit()));
+            text.append(String.format(
+                    Locale.ROOT, "hosts=%-7d %-34s %16s %s%n", f.hosts(), f.name(), value(f.value()), f.unit()));
         }
         return text.toString();
     }
@@ -73,7 +73,12 @@
     }
 
     private static String json(Figure f) {
-        return JSON.createObjectNode().put("hosts", f.hosts()).put("name", f.name()).put("value", f.value())
-                .put("unit", f.unit()).put("count", f.count()).toString();
+        return JSON.createObjectNode()
+                .put("hosts", f.hosts())
+                .put("name", f.name())
+                .put("value", f.value())
+                .put("unit", f.unit())
+                .put("count", f.count())
+                .toString();
     }
 }
--- a/src/main/java/caperrudder/scale/FleetSettings.java
+++ b/src/main/java/caperrudder/scale/FleetSettings.java
@@ -9,16 +9,20 @@
 /** The settings of one gateway of a fleet under measurement, by the names that a real gateway reads them by. */
 final class FleetSettings {
     /** How gateways learn what the others let in. */
-    enum Sharing { METER, PEERS }
+    enum Sharing {
+        METER,
+        PEERS
+    }
 
     static final int MAX_ATTEMPTS = 4;
     static final double CONNECT_TIMEOUT_MS = 250;
-    private static final String[][] CLASSES = {{"read", "repeatable", "all", "1"}, {"order", "by_key", "all", "2"},
-        {"pay", "once", "all", "3"}};
+    private static final String[][] CLASSES = {
+        {"read", "repeatable", "all", "1"}, {"order", "by_key", "all", "2"}, {"pay", "once", "all", "3"}
+    };
     private static final double[][] PLANS = {{1, 4}, {4, 12}, {12, 24}}; // units a second, depth
     static final String[] PLAN_NAMES = {"small", "middle", "large"};
 
-    private FleetSettings() { }
+    private FleetSettings() {}
 
     static Settings of(int gateway, int fleet, String zone, Sharing sharing, long seed) {
         Map<String, String> pairs = pairs(gateway, fleet, zone, sharing);
@@ -51,7 +55,8 @@
         p.put("rules.warm_within_ms", "10000");
         p.put("telemetry.names", "inflight,queue,util");
         p.put("specifics.max_units", "2");
-        p.put(sharing == Sharing.PEERS ? "specifics.mail_per_s" : "specifics.meter_period_ms",
+        p.put(
+                sharing == Sharing.PEERS ? "specifics.mail_per_s" : "specifics.meter_period_ms",
                 sharing == Sharing.PEERS ? "60" : "1000");
         p.put("classes.count", Integer.toString(CLASSES.length));
         for (int i = 0; i < CLASSES.length; i++) {
--- a/src/main/java/caperrudder/scale/Heap.java
+++ b/src/main/java/caperrudder/scale/Heap.java
@@ -15,7 +15,9 @@
     }
 
     private static java.util.List<MemoryPoolMXBean> pools() {
-        return ManagementFactory.getMemoryPoolMXBeans().stream().filter(p -> p.getType() == MemoryType.HEAP).toList();
+        return ManagementFactory.getMemoryPoolMXBeans().stream()
+                .filter(p -> p.getType() == MemoryType.HEAP)
+                .toList();
     }
 
     /** Bytes that are reachable now; collects what is not. */
@@ -29,7 +31,8 @@
     /** Milliseconds that collections of garbage have taken since the start of the process. */
     static long collectionMs() {
         return ManagementFactory.getGarbageCollectorMXBeans().stream()
-                .mapToLong(GarbageCollectorMXBean::getCollectionTime).sum();
+                .mapToLong(GarbageCollectorMXBean::getCollectionTime)
+                .sum();
     }
 
     /** The peaks of the heap's parts together: an upper bound, and what is not collected yet is in it. */
--- a/src/main/java/caperrudder/scale/HollowFleet.java
+++ b/src/main/java/caperrudder/scale/HollowFleet.java
@@ -74,8 +74,8 @@
         this.figures = new Figures(sizes.hosts());
         this.random = new Random(sizes.seed());
         this.discovery = new DiscoveryStandIn(sizes.hosts(), sizes.seed(), HollowFleet::address);
-        this.tenants = new Tenants(sizes.tenants(), sizes.fleet(), sizes.spread(),
-                settings(0).plans());
+        this.tenants = new Tenants(
+                sizes.tenants(), sizes.fleet(), sizes.spread(), settings(0).plans());
     }
 
     private static String address(int number) {
@@ -83,8 +83,12 @@
     }
 
     private Settings settings(int number) {
-        return FleetSettings.of(number, sizes.fleet(), DiscoveryStandIn.zoneName(number % DiscoveryStandIn.ZONES),
-                sizes.sharing(), sizes.seed() * 1_000_003 + number);
+        return FleetSettings.of(
+                number,
+                sizes.fleet(),
+                DiscoveryStandIn.zoneName(number % DiscoveryStandIn.ZONES),
+                sizes.sharing(),
+                sizes.seed() * 1_000_003 + number);
     }
 
     /** All phases, one after the other. */
@@ -116,8 +120,10 @@
             int number = (int) ((long) i * sizes.fleet() / sizes.gateways());
             Settings settings = settings(number);
             HollowGateway[] self = new HollowGateway[1];
-            HollowGateway g = new HollowGateway(settings, (kind, name, host, place, delayMs, message) ->
-                    carryOut(self[0], kind, name, host, place, delayMs, message));
+            HollowGateway g = new HollowGateway(
+                    settings,
+                    (kind, name, host, place, delayMs, message) ->
+                            carryOut(self[0], kind, name, host, place, delayMs, message));
             self[0] = g;
             gateways.add(g);
             byNumber.put(number, g);
@@ -225,8 +231,10 @@
         figures.count("peers.bytes", costs.messageBytes, "bytes");
         figures.count("peers.messages.gateway.second", costs.messages / gatewaySeconds, "messages");
         figures.count("peers.bytes.gateway.second", costs.messageBytes / gatewaySeconds, "bytes");
-        figures.count("peers.messages.most.heard",
-                costs.heard.values().stream().mapToInt(n -> n).max().orElse(0), "messages");
+        figures.count(
+                "peers.messages.most.heard",
+                costs.heard.values().stream().mapToInt(n -> n).max().orElse(0),
+                "messages");
         figures.us("peers.message.cpu.mean", costs.messagesIn.meanNanos());
         figures.us("peers.message.cpu.p99", costs.messagesIn.nanosAt(99));
         figures.measured("peers.message.allocated", costs.messagesIn.meanBytes(), "bytes");
@@ -280,8 +288,10 @@
 
     /** A zone's hosts fall silent while requests run, are told gone, and come back cold. */
     private void loss() {
-        List<Entry> lost = discovery.entries().stream().sorted((a, b) -> a.zone().compareTo(b.zone()))
-                .limit(sizes.atOnce()).toList();
+        List<Entry> lost = discovery.entries().stream()
+                .sorted((a, b) -> a.zone().compareTo(b.zone()))
+                .limit(sizes.atOnce())
+                .toList();
         if (lost.isEmpty()) {
             return;
         }
@@ -319,8 +329,17 @@
     private void request(HollowGateway g, int tenant) {
         double now = clock.nowMs();
         String id = "q" + serial++;
-        Request r = new Request(id, now + DEADLINE_MS, now, false, FleetSettings.className(serial),
-                Tenants.id(tenant), tenants.plan(tenant).name(), 1, tenants.first(tenant), tenants.spread());
+        Request r = new Request(
+                id,
+                now + DEADLINE_MS,
+                now,
+                false,
+                FleetSettings.className(serial),
+                Tenants.id(tenant),
+                tenants.plan(tenant).name(),
+                1,
+                tenants.first(tenant),
+                tenants.spread());
         Open o = new Open(g, tenant, now + DEADLINE_MS);
         open.put(id, o);
         g.tell(costs.arrivals, m -> m.request(now, r));
@@ -339,8 +358,8 @@
         }
     }
 
-    private void carryOut(HollowGateway g, Outbox.Kind kind, String name, String host, int number, double delayMs,
-            byte[] message) {
+    private void carryOut(
+            HollowGateway g, Outbox.Kind kind, String name, String host, int number, double delayMs, byte[] message) {
         switch (kind) {
             case TIMER -> clock.after(delayMs, () -> g.tell(costs.beats, m -> m.timer(clock.nowMs(), name)));
             case SEND -> send(g, name, host);
@@ -385,7 +404,8 @@
             throw new IllegalStateException("an attempt that the settings do not allow");
         }
         if (e.silent) {
-            clock.after(FleetSettings.CONNECT_TIMEOUT_MS,
+            clock.after(
+                    FleetSettings.CONNECT_TIMEOUT_MS,
                     () -> ended(g, id, attempt, host, Outcome.CONNECT_FAILED, clock.nowMs() - sentAt));
             return;
         }
@@ -395,7 +415,8 @@
         clock.after(ANSWER_MS * (0.5 - 0.5 * Math.log(1 - random.nextDouble())), () -> {
             e.inWork--;
             if (e.silent) { // vanished with its work: nothing comes before the request's time is up
-                clock.after(o.deadlineMs - clock.nowMs(),
+                clock.after(
+                        o.deadlineMs - clock.nowMs(),
                         () -> ended(g, id, attempt, host, Outcome.TIMEOUT, clock.nowMs() - sentAt));
             } else {
                 ended(g, id, attempt, host, Outcome.OK, clock.nowMs() - sentAt);
--- a/src/main/java/caperrudder/scale/LoopbackStandIns.java
+++ b/src/main/java/caperrudder/scale/LoopbackStandIns.java
@@ -1,9 +1,9 @@
 package caperrudder.scale;
 
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 import caperrudder.scale.DiscoveryStandIn.Entry;
 import caperrudder.scale.DiscoveryStandIn.State;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -94,7 +94,9 @@
         Matcher watch = WATCH.matcher(query == null ? "" : query);
         byte[] text;
         try {
-            text = watch.matches() ? changesSince(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2))) : all();
+            text = watch.matches()
+                    ? changesSince(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2)))
+                    : all();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return;
--- a/src/main/java/caperrudder/scale/MemoryBound.java
+++ b/src/main/java/caperrudder/scale/MemoryBound.java
@@ -8,7 +8,7 @@
 final class MemoryBound {
     private static final double MB = 1 << 20;
 
-    private MemoryBound() { }
+    private MemoryBound() {}
 
     static long physicalBytes() {
         return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getTotalMemorySize();
@@ -18,18 +18,28 @@
     static void check(double estimatedBytes, long heapMaxBytes, long physicalBytes) {
         double half = physicalBytes / 2.0;
         if (heapMaxBytes > half) {
-            throw new IllegalArgumentException(String.format(Locale.ROOT, "the heap may grow to %.0f MB, over half of"
-                    + " the machine's %.0f MB: start java with -Xmx%.0fm at most", heapMaxBytes / MB,
-                    physicalBytes / MB, Math.floor(half / MB)));
+            throw new IllegalArgumentException(String.format(
+                    Locale.ROOT,
+                    "the heap may grow to %.0f MB, over half of"
+                            + " the machine's %.0f MB: start java with -Xmx%.0fm at most",
+                    heapMaxBytes / MB,
+                    physicalBytes / MB,
+                    Math.floor(half / MB)));
         }
         if (estimatedBytes > half) {
-            throw new IllegalArgumentException(String.format(Locale.ROOT, "these sizes need some %.0f MB, over half of"
-                    + " the machine's %.0f MB: fewer gateways, hosts or tenants, please", estimatedBytes / MB,
+            throw new IllegalArgumentException(String.format(
+                    Locale.ROOT,
+                    "these sizes need some %.0f MB, over half of"
+                            + " the machine's %.0f MB: fewer gateways, hosts or tenants, please",
+                    estimatedBytes / MB,
                     physicalBytes / MB));
         }
         if (estimatedBytes > heapMaxBytes) {
-            throw new IllegalArgumentException(String.format(Locale.ROOT, "these sizes need some %.0f MB, and the heap"
-                    + " may grow to %.0f MB: start java with -Xmx%.0fm", estimatedBytes / MB, heapMaxBytes / MB,
+            throw new IllegalArgumentException(String.format(
+                    Locale.ROOT,
+                    "these sizes need some %.0f MB, and the heap" + " may grow to %.0f MB: start java with -Xmx%.0fm",
+                    estimatedBytes / MB,
+                    heapMaxBytes / MB,
                     Math.ceil(estimatedBytes / MB)));
         }
     }
--- a/src/main/java/caperrudder/scale/Outbox.java
+++ b/src/main/java/caperrudder/scale/Outbox.java
@@ -8,7 +8,16 @@
  * used again: noting an action allocates nothing, so that what is measured is the module's own.
  */
 final class Outbox implements Actions {
-    enum Kind { SEND, CANCEL, REFUSE, FAIL, TIMER, PROBE, TELL, COUNT }
+    enum Kind {
+        SEND,
+        CANCEL,
+        REFUSE,
+        FAIL,
+        TIMER,
+        PROBE,
+        TELL,
+        COUNT
+    }
 
     /** Is told each action in order; {@code name} is a request, token or counter, what a kind has not is 0 or null. */
     interface Carrier {
@@ -93,5 +102,5 @@
 
     /** Discovery is always watched. */
     @Override
-    public void watchHosts() { }
+    public void watchHosts() {}
 }
--- a/src/main/java/caperrudder/scale/Output.java
+++ b/src/main/java/caperrudder/scale/Output.java
@@ -8,9 +8,14 @@
 
 /** The options that all measurements share, and the printing of what came of them. */
 final class Output {
-    @Option(names = "--seed", defaultValue = "1", paramLabel = "N", description = "Of all that is drawn by lot: one"
-            + " seed gives the same counts each time (default: ${DEFAULT-VALUE}).")
+    @Option(
+            names = "--seed",
+            defaultValue = "1",
+            paramLabel = "N",
+            description = "Of all that is drawn by lot: one"
+                    + " seed gives the same counts each time (default: ${DEFAULT-VALUE}).")
     private long seed;
+
     @Option(names = "--json", description = "Prints one JSON object instead of lines.")
     private boolean json;
 
--- a/src/main/java/caperrudder/scale/ProcessCommand.java
+++ b/src/main/java/caperrudder/scale/ProcessCommand.java
@@ -19,7 +19,11 @@
 import picocli.CommandLine.Spec;
 
 /** The same slopes on real processes over loopback. */
-@Command(name = "process", mixinStandardHelpOptions = true, sortOptions = false, usageHelpWidth = 100,
+@Command(
+        name = "process",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        usageHelpWidth = 100,
         description = "Measures a real gateway process over loopback, started by the command 'run' of a deployment,"
                 + " before stand-ins for discovery and hosts: at each size a process is started anew, left idle, loaded,"
                 + " and told changes. Processor time is that of the whole process, as the system tells it.",
@@ -29,8 +33,17 @@
     private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"(.*)\"\\s*$");
 
     /** What is asked of each process. */
-    record Plan(String command, int hosts, int fleet, int memoryMb, int idleS, int loadS, double ratePerS, int changes,
-            int answerMs, long seed) {
+    record Plan(
+            String command,
+            int hosts,
+            int fleet,
+            int memoryMb,
+            int idleS,
+            int loadS,
+            double ratePerS,
+            int changes,
+            int answerMs,
+            long seed) {
         Plan {
             check(hosts >= 1 && hosts <= 1_000_000, "--hosts must be from 1 to 1000000");
             check(fleet >= 1 && fleet <= Sizes.FLEET_MAX, "--fleet must be from 1 to " + Sizes.FLEET_MAX);
@@ -51,33 +64,71 @@
 
     @Spec
     private CommandSpec spec;
-    @Option(names = "--hosts", split = ",", defaultValue = "10,1000,10000", paramLabel = "N",
+
+    @Option(
+            names = "--hosts",
+            split = ",",
+            defaultValue = "10,1000,10000",
+            paramLabel = "N",
             description = "Hosts in discovery's list; several sizes by commas (default: ${DEFAULT-VALUE}).")
     private List<Integer> hosts;
-    @Option(names = "--run", paramLabel = "COMMAND",
+
+    @Option(
+            names = "--run",
+            paramLabel = "COMMAND",
             description = "What starts a gateway (default: 'run' of ./deploy/balancer.toml).")
     private String run;
-    @Option(names = "--fleet", defaultValue = "1", paramLabel = "N", description = "Gateways that the settings tell of;"
-            + " it decides how many hosts the gateway keeps to (default: ${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--fleet",
+            defaultValue = "1",
+            paramLabel = "N",
+            description = "Gateways that the settings tell of;"
+                    + " it decides how many hosts the gateway keeps to (default: ${DEFAULT-VALUE}).")
     private int fleet;
-    @Option(names = "--memory-mb", defaultValue = "256", paramLabel = "MB",
+
+    @Option(
+            names = "--memory-mb",
+            defaultValue = "256",
+            paramLabel = "MB",
             description = "Memory that the settings tell the gateway of (default: ${DEFAULT-VALUE}).")
     private int memoryMb;
-    @Option(names = "--idle", defaultValue = "10", paramLabel = "S",
+
+    @Option(
+            names = "--idle",
+            defaultValue = "10",
+            paramLabel = "S",
             description = "Idle time, in seconds (default: ${DEFAULT-VALUE}).")
     private int idleS;
-    @Option(names = "--load", defaultValue = "10", paramLabel = "S",
+
+    @Option(
+            names = "--load",
+            defaultValue = "10",
+            paramLabel = "S",
             description = "Time under load, in seconds (default: ${DEFAULT-VALUE}).")
     private int loadS;
-    @Option(names = "--rate", defaultValue = "100", paramLabel = "PER-S",
+
+    @Option(
+            names = "--rate",
+            defaultValue = "100",
+            paramLabel = "PER-S",
             description = "Requests a second under load (default: ${DEFAULT-VALUE}).")
     private double ratePerS;
-    @Option(names = "--changes", defaultValue = "40", paramLabel = "N",
+
+    @Option(
+            names = "--changes",
+            defaultValue = "40",
+            paramLabel = "N",
             description = "Changes of one host, told ten a second (default: ${DEFAULT-VALUE}).")
     private int changes;
-    @Option(names = "--answer-ms", defaultValue = "20", paramLabel = "MS",
+
+    @Option(
+            names = "--answer-ms",
+            defaultValue = "20",
+            paramLabel = "MS",
             description = "Time that a host takes for an answer, in milliseconds (default: ${DEFAULT-VALUE}).")
     private int answerMs;
+
     @Mixin
     private Output output;
 
@@ -87,13 +138,15 @@
         try {
             String command = run == null ? deployed(Path.of("deploy", "balancer.toml")) : run;
             for (int n : hosts) {
-                plans.add(new Plan(command, n, fleet, memoryMb, idleS, loadS, ratePerS, changes, answerMs, output.seed()));
+                plans.add(new Plan(
+                        command, n, fleet, memoryMb, idleS, loadS, ratePerS, changes, answerMs, output.seed()));
             }
         } catch (IllegalArgumentException e) {
             throw new ParameterException(spec.commandLine(), e.getMessage());
         }
-        output.print(spec.commandLine().getOut(), options(plans.get(0)), plans,
-                (plan, progress) -> new ProcessRun(plan, progress).run());
+        output.print(spec.commandLine().getOut(), options(plans.get(0)), plans, (plan, progress) -> new ProcessRun(
+                        plan, progress)
+                .run());
         return CommandLine.ExitCode.OK;
     }
 
--- a/src/main/java/caperrudder/scale/ProcessRun.java
+++ b/src/main/java/caperrudder/scale/ProcessRun.java
@@ -1,8 +1,8 @@
 package caperrudder.scale;
 
+import caperrudder.scale.FleetSettings.Sharing;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import caperrudder.scale.FleetSettings.Sharing;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -46,8 +46,10 @@
     private final ProcessCommand.Plan plan;
     private final Progress progress;
     private final Figures figures;
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofSeconds(CALL_S)).build();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(CALL_S))
+            .build();
     private long serial; // of requests: each has an id of its own
 
     ProcessRun(ProcessCommand.Plan plan, Progress progress) {
@@ -68,7 +70,8 @@
                     .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                     .redirectError(dir.resolve("log").toFile());
             builder.environment().put("NODE_CONFIG", config.toString());
-            builder.environment().put("TMPDIR", Files.createDirectory(dir.resolve("shared")).toString());
+            builder.environment()
+                    .put("TMPDIR", Files.createDirectory(dir.resolve("shared")).toString());
             long started = System.nanoTime();
             process = builder.start();
             boolean serves = await(process, READY_S, () -> status(port) == OK);
@@ -132,8 +135,8 @@
         figures.measured("process.requests.unserved", unserved.get(), "requests");
         figures.measured("process.request.cpu", cpuMs * 1000 / all, "us");
         for (String p : served.get() > 0 ? List.of("50", "99", "99.9") : List.<String>of()) {
-            figures.ms("process.added.p" + p,
-                    nanos.getValueAtPercentile(Double.parseDouble(p)) - plan.answerMs() * 1e6);
+            figures.ms(
+                    "process.added.p" + p, nanos.getValueAtPercentile(Double.parseDouble(p)) - plan.answerMs() * 1e6);
         }
     }
 
@@ -148,15 +151,16 @@
             long due = began + i * gap; // latency counts from here, also where the client is late
             TimeUnit.NANOSECONDS.sleep(due - System.nanoTime());
             open.acquire();
-            client.sendAsync(request(port), HttpResponse.BodyHandlers.ofByteArray()).whenComplete((r, failed) -> {
-                if (failed == null && r.statusCode() == OK) {
-                    nanos.recordValue(Math.max(0, System.nanoTime() - due));
-                    served.incrementAndGet();
-                } else {
-                    unserved.incrementAndGet();
-                }
-                open.release();
-            });
+            client.sendAsync(request(port), HttpResponse.BodyHandlers.ofByteArray())
+                    .whenComplete((r, failed) -> {
+                        if (failed == null && r.statusCode() == OK) {
+                            nanos.recordValue(Math.max(0, System.nanoTime() - due));
+                            served.incrementAndGet();
+                        } else {
+                            unserved.incrementAndGet();
+                        }
+                        open.release();
+                    });
             progress.at(plan.hosts() + " hosts, requests", i, all);
         }
         open.tryAcquire(OPEN_MAX, CALL_S, TimeUnit.SECONDS);
@@ -171,7 +175,9 @@
                 .header("X-Customer", String.format("%016x", Tenants.id((int) (number % 1000))))
                 .header("X-Expires-In-Ms", "3000")
                 .header("X-Quota", "units=1,spread=1,first=0")
-                .timeout(Duration.ofSeconds(CALL_S)).GET().build();
+                .timeout(Duration.ofSeconds(CALL_S))
+                .GET()
+                .build();
     }
 
     private void changes(Process process, LoopbackStandIns standIns, double idleMs) throws InterruptedException {
@@ -187,8 +193,8 @@
             progress.at(plan.hosts() + " hosts, changes", i, plan.changes());
         }
         double seconds = (System.nanoTime() - began) / NANOS_PER_S;
-        figures.measured("process.change.cpu", ((cpuNanos(process) - before) / 1e6 - idleMs * seconds)
-                / plan.changes(), "ms");
+        figures.measured(
+                "process.change.cpu", ((cpuNanos(process) - before) / 1e6 - idleMs * seconds) / plan.changes(), "ms");
     }
 
     private void tellMemory(Process process) throws IOException {
@@ -196,8 +202,10 @@
         if (Files.exists(status)) { // elsewhere the system tells it in other ways
             Matcher m = MEMORY.matcher(Files.readString(status));
             while (m.find()) {
-                figures.measured(m.group(1).equals("VmRSS") ? "process.memory" : "process.memory.peak",
-                        Double.parseDouble(m.group(2)) / 1024, "MB");
+                figures.measured(
+                        m.group(1).equals("VmRSS") ? "process.memory" : "process.memory.peak",
+                        Double.parseDouble(m.group(2)) / 1024,
+                        "MB");
             }
         }
     }
@@ -235,8 +243,11 @@
 
     private HttpResponse<String> get(int port, String path) throws InterruptedException {
         try {
-            return client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
-                    .timeout(Duration.ofSeconds(1)).build(), HttpResponse.BodyHandlers.ofString());
+            return client.send(
+                    HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                            .timeout(Duration.ofSeconds(1))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
         } catch (IOException e) {
             return null; // not there yet
         }
@@ -244,8 +255,11 @@
 
     private String config(int port, int adminPort, String discovery) {
         ObjectNode root = new ObjectMapper().createObjectNode();
-        root.put("name", "scale").put("listen", "127.0.0.1:" + port).put("admin_addr", "127.0.0.1:" + adminPort)
-                .put("discovery", discovery).put("seed", Long.toHexString(plan.seed()));
+        root.put("name", "scale")
+                .put("listen", "127.0.0.1:" + port)
+                .put("admin_addr", "127.0.0.1:" + adminPort)
+                .put("discovery", discovery)
+                .put("seed", Long.toHexString(plan.seed()));
         root.putObject("limits").put("memory_mb", plan.memoryMb());
         ObjectNode settings = root.putObject("settings");
         Map<String, String> pairs = FleetSettings.pairs(0, plan.fleet(), DiscoveryStandIn.zoneName(0), Sharing.METER);
--- a/src/main/java/caperrudder/scale/ScaleCommand.java
+++ b/src/main/java/caperrudder/scale/ScaleCommand.java
@@ -16,14 +16,21 @@
 import picocli.CommandLine.Spec;
 
 /** What a gateway costs by the size of its fleet: hollow gateways here, real processes in a command below. */
-@Command(name = "scale", mixinStandardHelpOptions = true, version = "0.1.0", sortOptions = false,
-        usageHelpWidth = 100, subcommands = ProcessCommand.class,
-        description = {"Measures hollow gateways: the real decision module, the real reading of host lists and the real"
-                + " messages between gateways, many in one process, on a simulated clock, with stand-ins for hosts,"
-                + " discovery and the meter. One line a figure; processor time is that of the thread that tells a"
-                + " gateway its events, without collections of garbage.",
+@Command(
+        name = "scale",
+        mixinStandardHelpOptions = true,
+        version = "0.1.0",
+        sortOptions = false,
+        usageHelpWidth = 100,
+        subcommands = ProcessCommand.class,
+        description = {
+            "Measures hollow gateways: the real decision module, the real reading of host lists and the real"
+                    + " messages between gateways, many in one process, on a simulated clock, with stand-ins for hosts,"
+                    + " discovery and the meter. One line a figure; processor time is that of the thread that tells a"
+                    + " gateway its events, without collections of garbage.",
             "Figures depend on java's own flags: measure with those of 'run' in deploy/balancer.toml where a gateway's"
-                + " costs count, and with a larger -Xmx where many gateways are built."},
+                    + " costs count, and with a larger -Xmx where many gateways are built."
+        },
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:measured", "1:the measurement failed", "2:options that make no sense"})
 public final class ScaleCommand implements Callable<Integer> {
@@ -33,42 +40,92 @@
 
     @Spec
     private CommandSpec spec;
-    @Option(names = "--hosts", split = ",", defaultValue = "1000", paramLabel = "N",
+
+    @Option(
+            names = "--hosts",
+            split = ",",
+            defaultValue = "1000",
+            paramLabel = "N",
             description = "Hosts in discovery's list; several sizes by commas (default: ${DEFAULT-VALUE}).")
     private List<Integer> hosts;
-    @Option(names = "--gateways", defaultValue = "1", paramLabel = "N",
+
+    @Option(
+            names = "--gateways",
+            defaultValue = "1",
+            paramLabel = "N",
             description = "Hollow gateways to build (default: ${DEFAULT-VALUE}).")
     private int gateways;
-    @Option(names = "--fleet", paramLabel = "N", description = "Gateways that the settings tell of, of which those"
-            + " built are some (default: as many as are built). It decides how many hosts a gateway keeps to.")
+
+    @Option(
+            names = "--fleet",
+            paramLabel = "N",
+            description = "Gateways that the settings tell of, of which those"
+                    + " built are some (default: as many as are built). It decides how many hosts a gateway keeps to.")
     private Integer fleet;
-    @Option(names = "--tenants", defaultValue = "1000", paramLabel = "N",
+
+    @Option(
+            names = "--tenants",
+            defaultValue = "1000",
+            paramLabel = "N",
             description = "Tenants of the whole fleet (default: ${DEFAULT-VALUE}).")
     private int tenants;
-    @Option(names = "--spread", paramLabel = "N",
+
+    @Option(
+            names = "--spread",
+            paramLabel = "N",
             description = "Gateways in a tenant's set (default: 20, or the fleet where that is smaller).")
     private Integer spread;
-    @Option(names = "--requests", defaultValue = "2000", paramLabel = "N",
+
+    @Option(
+            names = "--requests",
+            defaultValue = "2000",
+            paramLabel = "N",
             description = "Requests to each gateway (default: ${DEFAULT-VALUE}).")
     private int requests;
-    @Option(names = "--rate", defaultValue = "400", paramLabel = "PER-S",
+
+    @Option(
+            names = "--rate",
+            defaultValue = "400",
+            paramLabel = "PER-S",
             description = "Requests a second to each gateway (default: ${DEFAULT-VALUE}).")
     private double rate;
-    @Option(names = "--changes", defaultValue = "40", paramLabel = "N",
+
+    @Option(
+            names = "--changes",
+            defaultValue = "40",
+            paramLabel = "N",
             description = "Changes of one host, each told alone (default: ${DEFAULT-VALUE}).")
     private int changes;
-    @Option(names = "--at-once", paramLabel = "N", description = "Hosts that vanish in one moment and come back cold"
-            + " (default: a 32nd of the hosts, as a zone of the fleet to come).")
+
+    @Option(
+            names = "--at-once",
+            paramLabel = "N",
+            description = "Hosts that vanish in one moment and come back cold"
+                    + " (default: a 32nd of the hosts, as a zone of the fleet to come).")
     private Integer atOnce;
-    @Option(names = "--idle", defaultValue = "10", paramLabel = "S",
+
+    @Option(
+            names = "--idle",
+            defaultValue = "10",
+            paramLabel = "S",
             description = "Idle time, in simulated seconds (default: ${DEFAULT-VALUE}).")
     private int idleS;
-    @Option(names = "--sharing", defaultValue = "meter", paramLabel = "HOW",
+
+    @Option(
+            names = "--sharing",
+            defaultValue = "meter",
+            paramLabel = "HOW",
             description = "How gateways learn what the others let in: meter or peers (default: ${DEFAULT-VALUE}).")
     private Sharing sharing;
-    @Option(names = "--rounds", defaultValue = "2", paramLabel = "N", description = "Rounds of the whole measurement at"
-            + " each size, of which the last is told; the others warm up (default: ${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--rounds",
+            defaultValue = "2",
+            paramLabel = "N",
+            description = "Rounds of the whole measurement at"
+                    + " each size, of which the last is told; the others warm up (default: ${DEFAULT-VALUE}).")
     private int rounds;
+
     @Mixin
     private Output output;
 
@@ -83,8 +140,8 @@
                 .setOut(new java.io.PrintWriter(out, true))
                 .setErr(new java.io.PrintWriter(err, true))
                 .setParameterExceptionHandler((e, unused) -> {
-                    err.println(name(e.getCommandLine()) + ": " + e.getMessage().lines().findFirst().orElse("")
-                            + " (see --help)");
+                    err.println(name(e.getCommandLine()) + ": "
+                            + e.getMessage().lines().findFirst().orElse("") + " (see --help)");
                     return CommandLine.ExitCode.USAGE;
                 })
                 .setExecutionExceptionHandler((e, line, unused) -> {
@@ -114,8 +171,19 @@
             List<Sizes> all = new ArrayList<>();
             for (int n : hosts) {
                 int told = fleet == null ? gateways : fleet;
-                Sizes s = new Sizes(gateways, told, n, tenants, spread == null ? Math.min(SPREAD, told) : spread,
-                        requests, rate, changes, atOnce == null ? n / ZONES : atOnce, idleS, sharing, output.seed());
+                Sizes s = new Sizes(
+                        gateways,
+                        told,
+                        n,
+                        tenants,
+                        spread == null ? Math.min(SPREAD, told) : spread,
+                        requests,
+                        rate,
+                        changes,
+                        atOnce == null ? n / ZONES : atOnce,
+                        idleS,
+                        sharing,
+                        output.seed());
                 MemoryBound.check(s.estimatedBytes(), Runtime.getRuntime().maxMemory(), MemoryBound.physicalBytes());
                 all.add(s);
             }
@@ -131,8 +199,8 @@
             String step = s.hosts() + " hosts, round " + round + " of " + rounds;
             Figures figures = new HollowFleet(s, progress, step).run();
             if (last != null && !last.counts().equals(figures.counts())) {
-                throw new IllegalStateException("rounds of one seed differ in their counts: " + last.counts() + " and "
-                        + figures.counts());
+                throw new IllegalStateException(
+                        "rounds of one seed differ in their counts: " + last.counts() + " and " + figures.counts());
             }
             last = figures;
         }
--- a/src/main/java/caperrudder/wire/Main.java
+++ b/src/main/java/caperrudder/wire/Main.java
@@ -11,7 +11,7 @@
 public final class Main {
     private static final int BUFFER = 1 << 16;
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("wirehost")) {
@@ -19,8 +19,7 @@
             System.exit(2);
         }
         BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), BUFFER);
-        BufferedWriter out = new BufferedWriter(
-                new OutputStreamWriter(System.out, StandardCharsets.UTF_8), BUFFER);
+        BufferedWriter out = new BufferedWriter(new OutputStreamWriter(System.out, StandardCharsets.UTF_8), BUFFER);
         try {
             new WireHost(in, out).run();
         } catch (WireFault fault) {
--- a/src/main/java/caperrudder/wire/ReplyWriter.java
+++ b/src/main/java/caperrudder/wire/ReplyWriter.java
@@ -61,7 +61,11 @@
 
     @Override
     public void timer(double delayMs, String token) {
-        line("TIMER in_ms=").append(number(delayMs)).append(" cookie=").append(token).append('\n');
+        line("TIMER in_ms=")
+                .append(number(delayMs))
+                .append(" cookie=")
+                .append(token)
+                .append('\n');
     }
 
     @Override
@@ -71,14 +75,22 @@
 
     @Override
     public void tell(int peer, byte[] data) {
-        line("NOTIFY dest=").append(peer).append(" contents=")
-                .append(data.length == 0 ? "-" : HexFormat.of().formatHex(data)).append('\n');
+        line("NOTIFY dest=")
+                .append(peer)
+                .append(" contents=")
+                .append(data.length == 0 ? "-" : HexFormat.of().formatHex(data))
+                .append('\n');
     }
 
     @Override
     public void count(String counter, double amount, double lifetimeMs) {
-        line("ADD_AND_GET counter=").append(counter).append(" by=").append(number(amount))
-                .append(" lifetime_ms=").append(number(lifetimeMs)).append('\n');
+        line("ADD_AND_GET counter=")
+                .append(counter)
+                .append(" by=")
+                .append(number(amount))
+                .append(" lifetime_ms=")
+                .append(number(lifetimeMs))
+                .append('\n');
     }
 
     @Override
--- a/src/main/java/caperrudder/wire/WireHost.java
+++ b/src/main/java/caperrudder/wire/WireHost.java
@@ -113,34 +113,52 @@
         }
         switch (name) {
             case "MEMBERSHIP" -> membership(now, brain, f);
-            case "DEMAND" -> brain.request(now, new Request(f.text("op_id"), f.number("valid_until_ms"), now,
-                    f.flag("retry", false), f.text("lane"), f.whole("holder"), f.text("contract"),
-                    f.number("size_units"), f.count("from_no", 0), f.count("doors", 1)));
+            case "DEMAND" -> brain.request(
+                    now,
+                    new Request(
+                            f.text("op_id"),
+                            f.number("valid_until_ms"),
+                            now,
+                            f.flag("retry", false),
+                            f.text("lane"),
+                            f.whole("holder"),
+                            f.text("contract"),
+                            f.number("size_units"),
+                            f.count("from_no", 0),
+                            f.count("doors", 1)));
             case "FLOWING" -> brain.streamStarted(now, f.text("op_id"), f.count("hop"));
-            case "COMPLETED" -> brain.attemptEnded(now, new AttemptResult(f.text("op_id"), f.count("hop"),
-                    f.text("host"), outcome(f.text("reason")), f.number("cost_time_ms", 0),
-                    f.flag("terminal", false), f.count("use_pct", 0), f.number("cost", 0),
-                    f.row("health_info")));
+            case "COMPLETED" -> brain.attemptEnded(
+                    now,
+                    new AttemptResult(
+                            f.text("op_id"),
+                            f.count("hop"),
+                            f.text("host"),
+                            outcome(f.text("reason")),
+                            f.number("cost_time_ms", 0),
+                            f.flag("terminal", false),
+                            f.count("use_pct", 0),
+                            f.number("cost", 0),
+                            f.row("health_info")));
             case "VANISHED" -> brain.clientLeft(now, f.text("op_id"));
             case "DUE" -> brain.timer(now, f.text("cookie"));
-            case "PROBE_RESULT" -> brain.probed(now, f.text("host"), outcome(f.text("reason")),
-                    f.number("cost_time_ms", 0), f.row("health_info"));
+            case "PROBE_RESULT" -> brain.probed(
+                    now, f.text("host"), outcome(f.text("reason")), f.number("cost_time_ms", 0), f.row("health_info"));
             case "FROM_PEER" -> brain.peerSaid(now, f.count("neighbour"), f.bytes("contents"));
-            case "COUNTED" -> brain.counted(now, f.text("counter"), outcome(f.text("reason")),
-                    f.number("reading", 0));
+            case "COUNTED" -> brain.counted(now, f.text("counter"), outcome(f.text("reason")), f.number("reading", 0));
             default -> throw new WireFault("unknown message '" + name + "'");
         }
     }
 
     private void membership(double now, Brain brain, Fields f) {
         String how = f.text("how");
-        ListKind kind = switch (how) {
-            case "D" -> ListKind.CHANGES;
-            case "F" -> ListKind.FULL;
-            case "C" -> ListKind.CACHED;
-            case "X" -> ListKind.FAILED;
-            default -> throw new WireFault("unknown list kind '" + how + "'");
-        };
+        ListKind kind =
+                switch (how) {
+                    case "D" -> ListKind.CHANGES;
+                    case "F" -> ListKind.FULL;
+                    case "C" -> ListKind.CACHED;
+                    case "X" -> ListKind.FAILED;
+                    default -> throw new WireFault("unknown list kind '" + how + "'");
+                };
         List<Host> hosts = List.of();
         if (kind != ListKind.FAILED) {
             int page = f.count("page");
@@ -161,8 +179,13 @@
                 throw new WireFault("expected " + members + " HOST lines, found " + i);
             }
             Fields h = fields();
-            hosts.add(new Host(h.text("host"), h.text("failure_domain", ""), h.text("shape", ""),
-                    h.count("cohort", 0), state(h.text("mode")), h.number("rating", 1),
+            hosts.add(new Host(
+                    h.text("host"),
+                    h.text("failure_domain", ""),
+                    h.text("shape", ""),
+                    h.count("cohort", 0),
+                    state(h.text("mode")),
+                    h.number("rating", 1),
                     h.number("born_ms", 0)));
         }
         catalogs.put(page, List.copyOf(hosts));
--- a/src/test/java/caperrudder/AdmissionOddsTest.java
+++ b/src/test/java/caperrudder/AdmissionOddsTest.java
@@ -22,7 +22,9 @@
     }
 
     private static long admitted(AdmissionOdds odds, double now, double units, double usefulShare, double taken) {
-        return IntStream.range(0, TRIES).filter(i -> odds.admits(now, units, usefulShare, taken, NEVER, 0)).count();
+        return IntStream.range(0, TRIES)
+                .filter(i -> odds.admits(now, units, usefulShare, taken, NEVER, 0))
+                .count();
     }
 
     @Test
@@ -75,6 +77,10 @@
     void aFreshFigureOfTheCustomerCountsMoreThanThoseOfItsPlan() {
         AdmissionOdds odds = odds(1, 0);
         learn(odds, 6, 1);
-        assertEquals(TRIES, IntStream.range(0, TRIES).filter(i -> odds.admits(0, 1, 1, 0, 100, 0.5)).count());
+        assertEquals(
+                TRIES,
+                IntStream.range(0, TRIES)
+                        .filter(i -> odds.admits(0, 1, 1, 0, 100, 0.5))
+                        .count());
     }
 }
--- a/src/test/java/caperrudder/BooksTest.java
+++ b/src/test/java/caperrudder/BooksTest.java
@@ -29,8 +29,21 @@
     void theFirstRequestOfACustomerIsLetInHoweverManyGatewaysShareIt() {
         Settings s = FakeGateway.settings(0, 8);
         Limits silent = new Limits(4, false, true, false, false, true, 500, 0);
-        FakeGateway g = new FakeGateway(1000, new Settings(7, 0, 8, "a", false, s.classes(), s.plans(), List.of(),
-                silent, s.rules(), new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0))).withHosts("a1");
+        FakeGateway g = new FakeGateway(
+                        1000,
+                        new Settings(
+                                7,
+                                0,
+                                8,
+                                "a",
+                                false,
+                                s.classes(),
+                                s.plans(),
+                                List.of(),
+                                silent,
+                                s.rules(),
+                                new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0)))
+                .withHosts("a1");
         g.ask("first", "read", "small", 1, 4, 8);
         g.ask("more", "read", "small", 1, 4, 8);
         g.ask("last", "read", "small", 1, 4, 8); // a request of twelve units is left, and others may have used it
@@ -44,7 +57,8 @@
     void aRequestThatNeverCameWholeUsesNoUnits() {
         FakeGateway g = FakeGateway.alone().withHosts("a1");
         for (int i = 0; i < 20; i++) {
-            g.brain.request(g.now, new Request("p" + i, g.now + 3000, g.now, false, "order", 1, "small", 4, 0, 1, true));
+            g.brain.request(
+                    g.now, new Request("p" + i, g.now + 3000, g.now, false, "order", 1, "small", 4, 0, 1, true));
             assertEquals(1, g.sends("p" + i));
             g.brain.requestSpent(g.now, "p" + i);
             g.brain.clientLeft(g.now, "p" + i);
--- a/src/test/java/caperrudder/ColdFleetTest.java
+++ b/src/test/java/caperrudder/ColdFleetTest.java
@@ -46,12 +46,12 @@
         }
     }
 
-    private static final Site SLOW = new Site(new Rules(8, 500, 2, 1500, 0.17, 17_000, 0), 3, 235, 5000,
-            List.of("inflight", "queue", "util"));
+    private static final Site SLOW =
+            new Site(new Rules(8, 500, 2, 1500, 0.17, 17_000, 0), 3, 235, 5000, List.of("inflight", "queue", "util"));
     private static final Site QUICK = new Site(new Rules(8, 500, 2.5, 3000, 0.19, 18_000, 0), 2, 75, 1500, List.of());
 
     /** What happens at one moment, as shares of all hosts: some come cold, some never come back. */
-    private record Scene(String name, double cold, boolean known, double gone) { }
+    private record Scene(String name, double cold, boolean known, double gone) {}
 
     private static final List<Scene> SCENES = List.of(
             new Scene("return", 0.25, true, 0),
@@ -95,7 +95,9 @@
         double take(double now, double work) {
             if (coldAt > 0) got.add(now);
             if (holds(now) >= site.cores() * (1 + QUEUE_PER_CORE)) return -1;
-            int core = IntStream.range(0, freeAt.length).boxed().min(Comparator.comparingDouble(i -> freeAt[i]))
+            int core = IntStream.range(0, freeAt.length)
+                    .boxed()
+                    .min(Comparator.comparingDouble(i -> freeAt[i]))
                     .orElseThrow();
             double begin = Math.max(now, freeAt[core]);
             freeAt[core] = begin + work / (coldAt > 0 ? site.ramp(begin - coldAt) : 1);
@@ -117,7 +119,7 @@
         }
     }
 
-    private record Event(double at, long order, Runnable what) { }
+    private record Event(double at, long order, Runnable what) {}
 
     /** A fleet before hosts on one simulated clock. */
     private static final class Fleet {
@@ -143,20 +145,42 @@
                 hosts.add(h);
                 byId.put(h.id, h);
             }
-            RequestClass read = new RequestClass("read", Effect.REPEATABLE, Scope.ALL, 0, site.deadlineMs() * 0.3,
-                    site.deadlineMs(), 1, 0.2, false);
-            RequestClass order = new RequestClass("order", Effect.KEYED, Scope.ALL, site.deadlineMs(),
-                    site.deadlineMs() * 0.4, site.deadlineMs(), 2, 0, false);
-            RequestClass pay = new RequestClass("pay", Effect.ONCE, Scope.ALL, 0, site.deadlineMs() * 0.4,
-                    site.deadlineMs(), 3, 0.2, false);
-            double[] weight = IntStream.range(0, size).mapToDouble(i -> random.nextInt(BUSY_EVERY) == 0 ? BUSY : 1).toArray();
-            double perMs = LOAD * hostCount * site.capacityPerMs() / IntStream.range(0, size)
-                    .mapToDouble(i -> weight[i]).sum();
+            RequestClass read = new RequestClass(
+                    "read", Effect.REPEATABLE, Scope.ALL, 0, site.deadlineMs() * 0.3, site.deadlineMs(), 1, 0.2, false);
+            RequestClass order = new RequestClass(
+                    "order",
+                    Effect.KEYED,
+                    Scope.ALL,
+                    site.deadlineMs(),
+                    site.deadlineMs() * 0.4,
+                    site.deadlineMs(),
+                    2,
+                    0,
+                    false);
+            RequestClass pay = new RequestClass(
+                    "pay", Effect.ONCE, Scope.ALL, 0, site.deadlineMs() * 0.4, site.deadlineMs(), 3, 0.2, false);
+            double[] weight = IntStream.range(0, size)
+                    .mapToDouble(i -> random.nextInt(BUSY_EVERY) == 0 ? BUSY : 1)
+                    .toArray();
+            double perMs = LOAD
+                    * hostCount
+                    * site.capacityPerMs()
+                    / IntStream.range(0, size).mapToDouble(i -> weight[i]).sum();
             for (int i = 0; i < size; i++) {
-                FakeGateway g = new FakeGateway(now, new Settings(seed * 1000 + i, i, size, "a", false,
-                        List.of(read, order, pay), List.of(FakeGateway.FREE), site.reports(),
-                        new Limits(6, false, true, false, false, true, 500, 250), site.rules(),
-                        new Sharing(false, 0, 0, false, 1, 0, 0, 0, 0)));
+                FakeGateway g = new FakeGateway(
+                        now,
+                        new Settings(
+                                seed * 1000 + i,
+                                i,
+                                size,
+                                "a",
+                                false,
+                                List.of(read, order, pay),
+                                List.of(FakeGateway.FREE),
+                                site.reports(),
+                                new Limits(6, false, true, false, false, true, 500, 250),
+                                site.rules(),
+                                new Sharing(false, 0, 0, false, 1, 0, 0, 0, 0)));
                 gateways.add(g);
                 arrive(g, weight[i] * perMs);
                 every(g, random.nextDouble() * BEAT_MS);
@@ -173,7 +197,7 @@
 
         private void every(FakeGateway g, double delayMs) {
             at(now + delayMs, () -> {
-                act(g, () -> { });
+                act(g, () -> {});
                 every(g, BEAT_MS);
             });
         }
@@ -183,8 +207,21 @@
                 String id = "r" + asked++;
                 double kind = random.nextDouble();
                 deadlines.put(id, now + site.deadlineMs());
-                act(g, () -> g.brain.request(now, new Request(id, now + site.deadlineMs(), now, false,
-                        kind < 0.6 ? "read" : kind < 0.8 ? "order" : "pay", 1, "free", 1, 0, 1)));
+                act(
+                        g,
+                        () -> g.brain.request(
+                                now,
+                                new Request(
+                                        id,
+                                        now + site.deadlineMs(),
+                                        now,
+                                        false,
+                                        kind < 0.6 ? "read" : kind < 0.8 ? "order" : "pay",
+                                        1,
+                                        "free",
+                                        1,
+                                        0,
+                                        1)));
                 arrive(g, perMs);
             });
         }
@@ -227,14 +264,30 @@
             }
         }
 
-        private void end(FakeGateway g, String id, int attempt, String host, Outcome outcome, double sentAt, double when) {
+        private void end(
+                FakeGateway g, String id, int attempt, String host, Outcome outcome, double sentAt, double when) {
             at(when, () -> {
                 if (!out.remove(id, attempt)) return;
                 FakeHost h = byId.get(host);
-                double[] report = h == null || outcome == Outcome.CONNECT_FAILED || site.reports().isEmpty()
-                        ? new double[0] : new double[] {h.holds(now), 0, 0};
-                act(g, () -> g.brain.attemptEnded(now, new AttemptResult(id, attempt, host, outcome, now - sentAt,
-                        outcome == Outcome.OK, 0, 0, report)));
+                double[] report = h == null
+                                || outcome == Outcome.CONNECT_FAILED
+                                || site.reports().isEmpty()
+                        ? new double[0]
+                        : new double[] {h.holds(now), 0, 0};
+                act(
+                        g,
+                        () -> g.brain.attemptEnded(
+                                now,
+                                new AttemptResult(
+                                        id,
+                                        attempt,
+                                        host,
+                                        outcome,
+                                        now - sentAt,
+                                        outcome == Outcome.OK,
+                                        0,
+                                        0,
+                                        report)));
             });
         }
 
@@ -258,7 +311,12 @@
             List<FakeHost> cold = hosts.subList(0, some);
             List<FakeHost> gone = hosts.subList(some, some + (int) Math.round(scene.gone() * hosts.size()));
             if (!scene.known()) cold.forEach(h -> h.up = false);
-            tell(hosts.stream().filter(h -> h.up).map(h -> h.listed(HostState.RUNNING)).toList(), ListKind.FULL);
+            tell(
+                    hosts.stream()
+                            .filter(h -> h.up)
+                            .map(h -> h.listed(HostState.RUNNING))
+                            .toList(),
+                    ListKind.FULL);
             run(WARM_UP_MS - OUT_MS);
             if (scene.known()) {
                 cold.forEach(h -> h.up = false);
@@ -283,8 +341,13 @@
             for (Scene scene : SCENES) {
                 for (long seed = 1; seed <= SEEDS; seed++) {
                     List<FakeHost> cold = new Fleet(site, size, hosts, seed).play(scene);
-                    double excess = cold.stream().mapToDouble(FakeHost::excess).max().orElseThrow();
-                    double share = cold.stream().mapToDouble(h -> h.got.size()).average().orElseThrow() / allowed(site);
+                    double excess =
+                            cold.stream().mapToDouble(FakeHost::excess).max().orElseThrow();
+                    double share = cold.stream()
+                                    .mapToDouble(h -> h.got.size())
+                                    .average()
+                                    .orElseThrow()
+                            / allowed(site);
                     String told = "%s, %.0f ms a request, seed %d: excess %.1f, mean share of the budget %.2f"
                             .formatted(scene.name(), site.workMs(), seed, excess, share);
                     assertTrue(excess <= 0, told);
--- a/src/test/java/caperrudder/DecisionsTest.java
+++ b/src/test/java/caperrudder/DecisionsTest.java
@@ -31,8 +31,9 @@
     }
 
     private static void askLate(FakeGateway g, String id, double waited, int spread, long customer) {
-        g.brain.request(g.now, new Request(id, g.now + 3000 - waited, g.now - waited, false, "read", customer, "small",
-                1, 0, spread));
+        g.brain.request(
+                g.now,
+                new Request(id, g.now + 3000 - waited, g.now - waited, false, "read", customer, "small", 1, 0, spread));
     }
 
     /** What a stall of the gateway has used up is not decided past half of its time, nor sent for nobody. */
@@ -208,7 +209,9 @@
     @Test
     void manyGatewaysDoNotGatherOnOneHost() {
         // each knows next to nothing of the hosts: the best by own counts would be the same for all
-        String[] hosts = IntStream.range(0, 60).mapToObj(i -> "abc".charAt(i % 3) + "" + i).toArray(String[]::new);
+        String[] hosts = IntStream.range(0, 60)
+                .mapToObj(i -> "abc".charAt(i % 3) + "" + i)
+                .toArray(String[]::new);
         Map<String, Integer> got = new TreeMap<>();
         for (int me = 0; me < 300; me++) {
             FakeGateway g = new FakeGateway(1000, FakeGateway.settings(me, 300, me)).withHosts(hosts);
@@ -267,7 +270,9 @@
     @Test
     void hundredsOfGatewaysKeepToEquallyManyHostsEach() {
         // i2e3387: every gateway met every host, and tables full of idle connections refused new ones
-        String[] hosts = IntStream.range(0, 65).mapToObj(i -> "abc".charAt(i % 3) + "" + i).toArray(String[]::new);
+        String[] hosts = IntStream.range(0, 65)
+                .mapToObj(i -> "abc".charAt(i % 3) + "" + i)
+                .toArray(String[]::new);
         Map<String, Integer> met = new TreeMap<>();
         for (int me = 0; me < 379; me++) {
             FakeGateway g = new FakeGateway(1000, FakeGateway.settings(me, 379, me)).withHosts(hosts);
@@ -346,8 +351,13 @@
         String[] classes = {"read", "pay", "order"};
         for (int i = 0; i < 400; i++) {
             String id = "r" + i;
-            g.ask(id, classes[random.nextInt(3)], random.nextBoolean() ? "small" : "free",
-                    random.nextInt(20), 1 + random.nextInt(4), 3);
+            g.ask(
+                    id,
+                    classes[random.nextInt(3)],
+                    random.nextBoolean() ? "small" : "free",
+                    random.nextInt(20),
+                    1 + random.nextInt(4),
+                    3);
             if (g.sends(id) > 0) {
                 open.add(id);
             }
@@ -363,9 +373,12 @@
     @Test
     void theModuleStaysWithinItsSize() throws IOException {
         String policy = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                .filter(l -> l.startsWith("policy")).findFirst().orElseThrow();
+                .filter(l -> l.startsWith("policy"))
+                .findFirst()
+                .orElseThrow();
         List<String> lines = new ArrayList<>();
-        for (String file : policy.replaceAll("[^\"]*\"([^\"]*)\"[^\"]*", "$1 ").trim().split(" ")) {
+        for (String file :
+                policy.replaceAll("[^\"]*\"([^\"]*)\"[^\"]*", "$1 ").trim().split(" ")) {
             lines.addAll(Files.readAllLines(Path.of(file)));
         }
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= MODULE_LINES);
--- a/src/test/java/caperrudder/FakeGateway.java
+++ b/src/test/java/caperrudder/FakeGateway.java
@@ -20,11 +20,11 @@
     static final Plan OPEN = new Plan("open", 0, 0, 2, 1, 0, 1, 0, 0, 0);
     static final Plan FREE = new Plan("free", 1e6, 1e6, 0, 1, 0, 1, 0, 0, 0);
 
-    record Sent(double at, String id, String host) { }
+    record Sent(double at, String id, String host) {}
 
-    record Told(int peer, byte[] data) { }
+    record Told(int peer, byte[] data) {}
 
-    private record Timer(double at, int order, String token) { }
+    private record Timer(double at, int order, String token) {}
 
     final List<Sent> sent = new ArrayList<>();
     final List<String> refused = new ArrayList<>();
@@ -51,8 +51,15 @@
     }
 
     static Settings settings(int me, int gateways, long seed) {
-        return new Settings(seed, me, gateways, "a", false, List.of(READ, PAY, ORDER),
-                List.of(SMALL, CAPPED, OPEN, FREE), List.of(),
+        return new Settings(
+                seed,
+                me,
+                gateways,
+                "a",
+                false,
+                List.of(READ, PAY, ORDER),
+                List.of(SMALL, CAPPED, OPEN, FREE),
+                List.of(),
                 new Limits(4, false, true, true, true, true, 500, 250),
                 new Rules(8, 500, 2, 1000, 0.2, 10_000, 0),
                 new Sharing(false, 0, 0, false, 4, 60, 0.01, 0.01, 0.01));
@@ -61,8 +68,17 @@
     /** Gateways that can't talk to each other; a meter tells what each customer uses. */
     static Settings metered(int me, int gateways, long seed) {
         Settings s = settings(me, gateways, seed);
-        return new Settings(seed, me, gateways, s.zone(), false, s.classes(), s.plans(), List.of("util", "inflight"),
-                new Limits(4, false, true, false, false, true, 500, 250), s.rules(),
+        return new Settings(
+                seed,
+                me,
+                gateways,
+                s.zone(),
+                false,
+                s.classes(),
+                s.plans(),
+                List.of("util", "inflight"),
+                new Limits(4, false, true, false, false, true, 500, 250),
+                s.rules(),
                 new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0));
     }
 
@@ -96,8 +112,10 @@
     }
 
     void end(String id, int attempt, Outcome outcome, double latency, int usedPct, double... report) {
-        brain.attemptEnded(now, new AttemptResult(id, attempt, hostOf(id), outcome, latency,
-                outcome == Outcome.OK, usedPct, 0, report));
+        brain.attemptEnded(
+                now,
+                new AttemptResult(
+                        id, attempt, hostOf(id), outcome, latency, outcome == Outcome.OK, usedPct, 0, report));
     }
 
     String hostOf(String id) {
@@ -109,7 +127,8 @@
     }
 
     long answers(String id) {
-        return refused.stream().filter(id::equals).count() + failed.stream().filter(id::equals).count();
+        return refused.stream().filter(id::equals).count()
+                + failed.stream().filter(id::equals).count();
     }
 
     void runTo(double end) {
--- a/src/test/java/caperrudder/FleetTest.java
+++ b/src/test/java/caperrudder/FleetTest.java
@@ -29,7 +29,8 @@
     }
 
     private static List<Host> hosts(IntStream numbers, double startedMs) {
-        return numbers.mapToObj(i -> new Host("h" + i, "a", "std", 0, HostState.RUNNING, 1, startedMs)).toList();
+        return numbers.mapToObj(i -> new Host("h" + i, "a", "std", 0, HostState.RUNNING, 1, startedMs))
+                .toList();
     }
 
     private static List<Host> joined(List<Host> some, List<Host> others) {
@@ -46,7 +47,8 @@
                 FakeGateway g = fleet.get(i);
                 g.runTo(from + t);
                 List<FakeGateway.Sent> due = g.sent.stream()
-                        .filter(s -> s.at() <= g.now - ANSWER_MS && s.at() > g.now - ANSWER_MS - STEP_MS).toList();
+                        .filter(s -> s.at() <= g.now - ANSWER_MS && s.at() > g.now - ANSWER_MS - STEP_MS)
+                        .toList();
                 due.forEach(s -> g.end(s.id(), 0, Outcome.OK, ANSWER_MS));
                 if ((t + i * STEP_MS) % gapMs < STEP_MS) {
                     g.ask("r" + serial++, "read");
@@ -56,8 +58,10 @@
     }
 
     private long sentTo(Set<String> hosts, double from, double to) {
-        return fleet.stream().flatMap(g -> g.sent.stream())
-                .filter(s -> s.at() > from && s.at() <= to && hosts.contains(s.host())).count();
+        return fleet.stream()
+                .flatMap(g -> g.sent.stream())
+                .filter(s -> s.at() > from && s.at() <= to && hosts.contains(s.host()))
+                .count();
     }
 
     private static Set<String> ids(List<Host> hosts) {
@@ -71,8 +75,8 @@
         List<Host> cold = hosts(IntStream.range(24, HOSTS), now - 5000); // at 0.6 of what they can do
         fleet(now, joined(hosts(IntStream.range(0, 24), 0), cold));
         serve(1000, 50);
-        double share = (double) sentTo(ids(cold), now, now + 1000) / sentTo(ids(joined(cold,
-                hosts(IntStream.range(0, 24), 0))), now, now + 1000);
+        double share = (double) sentTo(ids(cold), now, now + 1000)
+                / sentTo(ids(joined(cold, hosts(IntStream.range(0, 24), 0))), now, now + 1000);
         double byCapacity = 36 * 0.64 / (24 + 36 * 0.64);
         assertTrue(share > 0.8 * byCapacity && share < 1.2 * byCapacity, "cold hosts took " + share);
     }
@@ -141,8 +145,18 @@
     @Test
     void withoutAMeterNobodyLetsInTheWholeStore() {
         Settings s = FakeGateway.metered(3, GATEWAYS, 7);
-        Settings blind = new Settings(7, 3, GATEWAYS, s.zone(), false, s.classes(), s.plans(), List.of(), s.limits(),
-                s.rules(), new Sharing(false, 0, 0, false, 4, 0, 0, 0, 0));
+        Settings blind = new Settings(
+                7,
+                3,
+                GATEWAYS,
+                s.zone(),
+                false,
+                s.classes(),
+                s.plans(),
+                List.of(),
+                s.limits(),
+                s.rules(),
+                new Sharing(false, 0, 0, false, 4, 0, 0, 0, 0));
         FakeGateway g = new FakeGateway(1000, blind).withHosts("a1", "a2");
         for (int i = 0; i < 5; i++) {
             g.ask("q" + i, "read", "small", 42, 2, GATEWAYS);
@@ -153,8 +167,10 @@
     /** The share of cold hosts, at 0.6 and more of what they can do, where each answer tells what its host holds. */
     private double coldShare(double warmHolds, double coldHolds) {
         FakeGateway g = new FakeGateway(100_000, FakeGateway.metered(3, GATEWAYS, 9));
-        g.brain.hosts(g.now, ListKind.FULL, joined(hosts(IntStream.range(0, 24), 0),
-                hosts(IntStream.range(24, HOSTS), g.now - 5000)));
+        g.brain.hosts(
+                g.now,
+                ListKind.FULL,
+                joined(hosts(IntStream.range(0, 24), 0), hosts(IntStream.range(24, HOSTS), g.now - 5000)));
         int cold = 0;
         for (int i = 0; i < 400; i++) {
             String id = "r" + serial++;
--- a/src/test/java/caperrudder/GuardsTest.java
+++ b/src/test/java/caperrudder/GuardsTest.java
@@ -156,13 +156,13 @@
         for (int i = 0; i < 100; i++) {
             steady(g, i);
         }
-        g.brain.hosts(g.now, ListKind.CHANGES,
-                List.of(new Host("c1", "c", "std", 0, HostState.RUNNING, 1, g.now)));
+        g.brain.hosts(g.now, ListKind.CHANGES, List.of(new Host("c1", "c", "std", 0, HostState.RUNNING, 1, g.now)));
         int before = g.sent.size();
         for (int i = 100; i < 150; i++) {
             steady(g, i);
         }
-        long cold = g.sent.stream().skip(before).filter(s -> s.host().equals("c1")).count();
+        long cold =
+                g.sent.stream().skip(before).filter(s -> s.host().equals("c1")).count();
         // 50 requests a second, half of them for each warm host: cold 0.2 x multiple 2 = 10 for all gateways
         assertTrue(cold >= 1 && cold < 10, "cold host got " + cold);
     }
--- a/src/test/java/caperrudder/HostCostsTest.java
+++ b/src/test/java/caperrudder/HostCostsTest.java
@@ -27,7 +27,9 @@
     @Test
     void neitherChangesNorIdleSecondsNorRequestsCopyTheHosts() {
         FakeGateway g = new FakeGateway(1_000_000, FakeGateway.settings(17, 4200, 5));
-        List<Host> hosts = IntStream.range(0, HOSTS).mapToObj(i -> host(i, HostState.RUNNING)).toList();
+        List<Host> hosts = IntStream.range(0, HOSTS)
+                .mapToObj(i -> host(i, HostState.RUNNING))
+                .toList();
         long before = allocated();
         g.brain.hosts(g.now, ListKind.FULL, hosts);
         double perHost = (allocated() - before) / (double) HOSTS;
--- a/src/test/java/caperrudder/HostTableTest.java
+++ b/src/test/java/caperrudder/HostTableTest.java
@@ -33,7 +33,9 @@
     }
 
     private static List<Host> hosts(int count) {
-        return IntStream.range(0, count).mapToObj(i -> FakeGateway.host("h" + i, "z" + i % 4)).toList();
+        return IntStream.range(0, count)
+                .mapToObj(i -> FakeGateway.host("h" + i, "z" + i % 4))
+                .toList();
     }
 
     private static List<String> ids(Collection<Server> hosts) {
@@ -46,7 +48,7 @@
 
     /** What every gateway once did at each change: walk, copy and sort all hosts. */
     private static final class WalkedHosts {
-        private record Known(Host info, boolean listed, double coldAt) { }
+        private record Known(Host info, boolean listed, double coldAt) {}
 
         private final Map<String, Known> all = new LinkedHashMap<>();
         private List<String> usable = List.of();
@@ -58,19 +60,28 @@
             for (Host h : hosts) {
                 Known k = all.get(h.id());
                 double coldAt = k == null ? State.NEVER : k.coldAt();
-                all.put(h.id(), new Known(h, h.state() != HostState.GONE,
-                        h.startedMs() > 0 ? Math.max(coldAt, h.startedMs()) : coldAt));
+                all.put(
+                        h.id(),
+                        new Known(
+                                h,
+                                h.state() != HostState.GONE,
+                                h.startedMs() > 0 ? Math.max(coldAt, h.startedMs()) : coldAt));
             }
         }
 
         void survey(double now, FakeGateway g, int me, int gateways) {
-            all.values().removeIf(k -> !k.listed() && g.brain.table.find(k.info().id()) == null); // forgotten
-            List<Known> open = all.values().stream().filter(k -> k.listed() && k.info().state() == HostState.RUNNING)
+            all.values()
+                    .removeIf(k -> !k.listed() && g.brain.table.find(k.info().id()) == null); // forgotten
+            List<Known> open = all.values().stream()
+                    .filter(k -> k.listed() && k.info().state() == HostState.RUNNING)
                     .sorted(Comparator.<Known>comparingInt(k -> k.info().id().hashCode())
-                            .thenComparing(k -> k.info().id())).toList();
+                            .thenComparing(k -> k.info().id()))
+                    .toList();
             usable = open.stream().map(k -> k.info().id()).toList();
-            capacity = open.stream().mapToDouble(k -> slowness(now, g.brain.table.find(k.info().id()).judged()) < 4
-                    ? ramp(now, k.coldAt()) : 0).sum();
+            capacity = open.stream()
+                    .mapToDouble(k ->
+                            slowness(now, g.brain.table.find(k.info().id()).judged()) < 4 ? ramp(now, k.coldAt()) : 0)
+                    .sum();
             homes.clear();
             int kept = Math.max(8, 6 * usable.size() / gateways);
             for (int i = 0; i < Math.min(kept, usable.size()); i++) {
@@ -130,7 +141,8 @@
         assertEquals(walked.usable, open(g));
         assertEquals(walked.homes, ids(g.brain.homes));
         assertEquals(walked.capacity, g.brain.capacity, 1e-9);
-        assertEquals(walked.all.values().stream().filter(WalkedHosts.Known::listed).count(),
+        assertEquals(
+                walked.all.values().stream().filter(WalkedHosts.Known::listed).count(),
                 g.brain.cluster(g.now).size());
     }
 
@@ -152,7 +164,7 @@
     }
 
     /** The most homes that a gateway gains or loses by a change, and how many all gain and lose. */
-    private record Moves(int mostGained, int mostLost, int gained, int lost) { }
+    private record Moves(int mostGained, int mostLost, int gained, int lost) {}
 
     private static Moves change(List<FakeGateway> fleet, Host h) {
         Moves all = new Moves(0, 0, 0, 0);
@@ -162,7 +174,10 @@
             Set<String> after = new HashSet<>(ids(g.brain.homes));
             int gained = (int) after.stream().filter(id -> !before.contains(id)).count();
             int lost = (int) before.stream().filter(id -> !after.contains(id)).count();
-            all = new Moves(Math.max(all.mostGained, gained), Math.max(all.mostLost, lost), all.gained + gained,
+            all = new Moves(
+                    Math.max(all.mostGained, gained),
+                    Math.max(all.mostLost, lost),
+                    all.gained + gained,
                     all.lost + lost);
         }
         return all;
@@ -223,17 +238,33 @@
     private static void aRepeatFindsTheHostOfItsPlace(Scope scope, String zone) {
         RequestClass order = new RequestClass("order", Effect.KEYED, scope, 60_000, 1000, 3000, 3, 0, false);
         Settings s = FakeGateway.settings(3, 100);
-        FakeGateway g = new FakeGateway(1000, new Settings(7, 3, 100, "a", false, List.of(order), s.plans(), List.of(),
-                s.limits(), s.rules(), s.sharing()));
-        List<Host> hosts = IntStream.range(0, 20_000).mapToObj(i -> host("h" + i, "far", 1)).toList();
+        FakeGateway g = new FakeGateway(
+                1000,
+                new Settings(
+                        7,
+                        3,
+                        100,
+                        "a",
+                        false,
+                        List.of(order),
+                        s.plans(),
+                        List.of(),
+                        s.limits(),
+                        s.rules(),
+                        s.sharing()));
+        List<Host> hosts = IntStream.range(0, 20_000)
+                .mapToObj(i -> host("h" + i, "far", 1))
+                .toList();
         g.brain.hosts(g.now, ListKind.FULL, hosts);
         g.ask("r", "order");
         String first = g.hostOf("r");
-        g.brain.hosts(g.now, ListKind.CHANGES,
-                List.of(new Host(first, zone, "std", 9, HostState.DRAINING, 1, 0)));
+        g.brain.hosts(g.now, ListKind.CHANGES, List.of(new Host(first, zone, "std", 9, HostState.DRAINING, 1, 0)));
         Set<String> homes = Set.copyOf(ids(g.brain.homes));
-        String other = hosts.stream().map(Host::id).filter(id -> !homes.contains(id) && !id.equals(first))
-                .findFirst().orElseThrow();
+        String other = hosts.stream()
+                .map(Host::id)
+                .filter(id -> !homes.contains(id) && !id.equals(first))
+                .findFirst()
+                .orElseThrow();
         g.end("r", 0, Outcome.ERROR, 5);
         assertEquals(1, g.sends("r")); // none may have the repeat
         g.brain.hosts(g.now, ListKind.CHANGES, List.of(host(other, zone, 9)));
@@ -262,8 +293,12 @@
     @Test
     void whereAllHomesAreColdARequestComparesAThousandOtherHostsAtMost() {
         FakeGateway g = oneOfMany(hosts(20_000));
-        g.brain.hosts(g.now, ListKind.CHANGES, g.brain.homes.stream().map(s -> new Host(s.info.id(), "z1", "std", 0,
-                HostState.RUNNING, 1, g.now)).toList());
+        g.brain.hosts(
+                g.now,
+                ListKind.CHANGES,
+                g.brain.homes.stream()
+                        .map(s -> new Host(s.info.id(), "z1", "std", 0, HostState.RUNNING, 1, g.now))
+                        .toList());
         List<Double> touched = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
             long before = g.brain.table.touched();
@@ -284,8 +319,10 @@
         long before = g.brain.table.touched();
         for (int i = 0; i < changes / 2; i++) {
             int number = random.nextInt(count);
-            g.brain.hosts(g.now, ListKind.CHANGES, List.of(new Host("h" + number, "z" + number % 4, "std", 0,
-                    HostState.GONE, 1, 0)));
+            g.brain.hosts(
+                    g.now,
+                    ListKind.CHANGES,
+                    List.of(new Host("h" + number, "z" + number % 4, "std", 0, HostState.GONE, 1, 0)));
             g.brain.hosts(g.now, ListKind.CHANGES, List.of(FakeGateway.host("h" + number, "z" + number % 4)));
         }
         return (g.brain.table.touched() - before) / (double) changes;
--- a/src/test/java/caperrudder/InheritanceTest.java
+++ b/src/test/java/caperrudder/InheritanceTest.java
@@ -75,10 +75,14 @@
     @Test
     void booksOfOtherClassesAndPlansChangeNothing() {
         FakeGateway g = FakeGateway.alone().withHosts("a1", "b1");
-        g.brain.inherited(g.now, new Books(g.now, 6,
-                List.of(new CustomerBook(1, "gone", 0, 1, 0, 0, 0, 0, 9, 0, 1, g.now, 0)),
-                List.of(new HealthBook("none", "", 12, g.now, 3), new HealthBook("a1", "none", 12, g.now, 3)),
-                List.of(new ClassBook("none", 1, 1, 1, 1, 1, 1))));
+        g.brain.inherited(
+                g.now,
+                new Books(
+                        g.now,
+                        6,
+                        List.of(new CustomerBook(1, "gone", 0, 1, 0, 0, 0, 0, 9, 0, 1, g.now, 0)),
+                        List.of(new HealthBook("none", "", 12, g.now, 3), new HealthBook("a1", "none", 12, g.now, 3)),
+                        List.of(new ClassBook("none", 1, 1, 1, 1, 1, 1))));
         assertEquals(new Cluster(2, 0), g.brain.cluster(g.now));
         assertEquals(BURST, use(g, "n", BURST));
     }
--- a/src/test/java/caperrudder/LoadedHosts.java
+++ b/src/test/java/caperrudder/LoadedHosts.java
@@ -18,7 +18,7 @@
     }
 
     /** The request that a host ends next, unless what it holds has changed by then. */
-    record Completion(int host, double at, String request, int changes) { }
+    record Completion(int host, double at, String request, int changes) {}
 
     LoadedHosts(int count, int cores) {
         this.cores = cores;
@@ -59,7 +59,8 @@
     Completion next(int host) {
         Host at = hosts.get(host);
         double rate = speed(at);
-        return at.remaining.entrySet().stream().min(Map.Entry.comparingByValue())
+        return at.remaining.entrySet().stream()
+                .min(Map.Entry.comparingByValue())
                 .map(e -> new Completion(host, at.at + Math.max(0, e.getValue()) / rate, e.getKey(), at.changes))
                 .orElse(null);
     }
--- a/src/test/java/caperrudder/LoadedQuotaWorld.java
+++ b/src/test/java/caperrudder/LoadedQuotaWorld.java
@@ -29,13 +29,17 @@
     private static final int LIST_NUMBERS = 10_000; // of hosts: their names sort as their numbers
 
     /** What the hosts can do, what requests ask of them, and the classes that requests are of, one drawn for each. */
-    record Load(int hosts, int cores, double workMsPerUnit, List<RequestClass> classes) { }
+    record Load(int hosts, int cores, double workMsPerUnit, List<RequestClass> classes) {}
 
     /** Shares of the worth that one who sees all first tries would let in; of the tries; a median time. */
     record Result(double served, double price, double withRoom, double triesPerRequest, double medianMs) {
         static Result mean(List<Result> all) {
-            return new Result(mean(all, Result::served), mean(all, Result::price), mean(all, Result::withRoom),
-                    mean(all, Result::triesPerRequest), mean(all, Result::medianMs));
+            return new Result(
+                    mean(all, Result::served),
+                    mean(all, Result::price),
+                    mean(all, Result::withRoom),
+                    mean(all, Result::triesPerRequest),
+                    mean(all, Result::medianMs));
         }
 
         private static double mean(List<Result> all, ToDoubleFunction<Result> figure) {
@@ -44,8 +48,8 @@
 
         @Override
         public String toString() {
-            return "served %.3f, price %.3f, with room %.3f, tries %.2f, median %.0f ms".formatted(served, price,
-                    withRoom, triesPerRequest, medianMs);
+            return "served %.3f, price %.3f, with room %.3f, tries %.2f, median %.0f ms"
+                    .formatted(served, price, withRoom, triesPerRequest, medianMs);
         }
     }
 
@@ -88,7 +92,7 @@
         }
     }
 
-    private record Event(double at, long order, Runnable what) { }
+    private record Event(double at, long order, Runnable what) {}
 
     private final int gateways;
     private final Load load;
@@ -128,7 +132,8 @@
         random = new Random(seed);
         hosts = new LoadedHosts(load.hosts(), load.cores());
         for (QuotaWorld.Try t : tries) {
-            RequestClass requestClass = load.classes().get(random.nextInt(load.classes().size()));
+            RequestClass requestClass =
+                    load.classes().get(random.nextInt(load.classes().size()));
             double workMs = load.workMsPerUnit() * t.units() * (0.6 + 0.8 * random.nextDouble());
             Client client = new Client(t, requestClass, workMs);
             at(t.at(), () -> tries(client));
@@ -144,14 +149,21 @@
         }
         double worth = worthInside();
         times.sort(Comparator.naturalOrder());
-        return new Result(served / worth, cost / worth, (double) withRoom / made, (double) made / tries.size(),
+        return new Result(
+                served / worth,
+                cost / worth,
+                (double) withRoom / made,
+                (double) made / tries.size(),
                 times.get(times.size() / 2));
     }
 
     /** What one who sees all first tries would let in, if attempts took their work alone. */
     private double worthInside() {
         Map<Long, TrueUse> seen = new HashMap<>();
-        double meanWorth = load.classes().stream().mapToDouble(RequestClass::worth).average().orElse(1);
+        double meanWorth = load.classes().stream()
+                .mapToDouble(RequestClass::worth)
+                .average()
+                .orElse(1);
         PriorityQueue<Event> ends = new PriorityQueue<>(Comparator.comparingDouble(Event::at));
         double worth = 0;
         for (QuotaWorld.Try t : tries) {
@@ -268,7 +280,7 @@
             }
 
             @Override
-            public void ended(double time, Client client, double latencyMs, int usedPercent) { }
+            public void ended(double time, Client client, double latencyMs, int usedPercent) {}
 
             @Override
             public void left(double time, Client client) {
@@ -276,7 +288,7 @@
             }
 
             @Override
-            public void beat(double time) { }
+            public void beat(double time) {}
         };
     }
 
@@ -303,10 +315,21 @@
 
         Fleet(List<Plan> plans, double maxUnits, long seed) {
             Settings s = FakeGateway.metered(0, gateways, seed);
-            String[] names = IntStream.range(0, load.hosts()).mapToObj(LoadedQuotaWorld::hostName).toArray(String[]::new);
+            String[] names = IntStream.range(0, load.hosts())
+                    .mapToObj(LoadedQuotaWorld::hostName)
+                    .toArray(String[]::new);
             for (int i = 0; i < gateways; i++) {
-                Settings own = new Settings(seed + i, i, gateways, "a", false, load.classes(), plans, List.of(),
-                        s.limits(), s.rules(),
+                Settings own = new Settings(
+                        seed + i,
+                        i,
+                        gateways,
+                        "a",
+                        false,
+                        load.classes(),
+                        plans,
+                        List.of(),
+                        s.limits(),
+                        s.rules(),
                         new Sharing(false, 0, QuotaWorld.PERIOD_MS, false, maxUnits, 0, 0, 0, 0));
                 modules.add(new FakeGateway(0, own).withHosts(names));
             }
@@ -316,8 +339,19 @@
         public void arrives(double time, Client client) {
             FakeGateway module = runTo(client.gateway, time);
             QuotaWorld.Try t = client.first;
-            module.brain.request(time, new Request(client.id, time + client.requestClass.deadlineMs(), time, false,
-                    client.requestClass.name(), t.customer(), t.plan().name(), t.units(), t.first(), t.spread()));
+            module.brain.request(
+                    time,
+                    new Request(
+                            client.id,
+                            time + client.requestClass.deadlineMs(),
+                            time,
+                            false,
+                            client.requestClass.name(),
+                            t.customer(),
+                            t.plan().name(),
+                            t.units(),
+                            t.first(),
+                            t.spread()));
             carryOut(client.gateway);
         }
 
@@ -328,8 +362,18 @@
 
         private void end(Client client, Outcome outcome, double latencyMs, int usedPercent) {
             FakeGateway module = runTo(client.gateway, now);
-            module.brain.attemptEnded(now, new AttemptResult(client.id, client.attempts - 1, module.hostOf(client.id), outcome,
-                    latencyMs, outcome == Outcome.OK, usedPercent, 0, new double[0]));
+            module.brain.attemptEnded(
+                    now,
+                    new AttemptResult(
+                            client.id,
+                            client.attempts - 1,
+                            module.hostOf(client.id),
+                            outcome,
+                            latencyMs,
+                            outcome == Outcome.OK,
+                            usedPercent,
+                            0,
+                            new double[0]));
             carryOut(client.gateway);
         }
 
--- a/src/test/java/caperrudder/OverQuotaTest.java
+++ b/src/test/java/caperrudder/OverQuotaTest.java
@@ -31,15 +31,16 @@
         return Arrays.stream(of95).map(c -> c * gateways / 95).toArray();
     }
 
-    private static void holds(int gateways, long seed, List<Plan> plans, int[] customers, Habits habits,
-            double maxUnits) {
+    private static void holds(
+            int gateways, long seed, List<Plan> plans, int[] customers, Habits habits, double maxUnits) {
         List<QuotaWorld.Try> tries = QuotaWorld.tries(gateways, plans, customers, habits, ANSWER_MS, RUN_MS, seed);
         QuotaWorld world = new QuotaWorld(gateways, tries, ANSWER_MS);
         Policy modules = world.fleet(plans, maxUnits, seed);
         Result late = world.play(world.seenLate(), seed);
         Result fleet = world.play(modules, seed);
         String told = fleet + ", seen late " + late;
-        assertAll(() -> assertTrue(fleet.price() <= late.price() + PRICE_MORE, told),
+        assertAll(
+                () -> assertTrue(fleet.price() <= late.price() + PRICE_MORE, told),
                 () -> assertTrue(fleet.served() >= late.served() - SERVED_LESS, told),
                 () -> assertTrue(fleet.withRoom() <= late.withRoom() + WITH_ROOM_MORE, told));
     }
@@ -47,7 +48,9 @@
     @ParameterizedTest
     @CsvSource({"20, 1", "20, 2", "20, 3", "95, 1", "95, 2", "95, 3"})
     void whereRequestsTakeOneUnit(int gateways, long seed) {
-        List<Plan> plans = List.of(plan("low", 0.8, 3.2, 0, 0.8, 1.2), plan("middle", 2.7, 10, 0, 1.1, 0.5),
+        List<Plan> plans = List.of(
+                plan("low", 0.8, 3.2, 0, 0.8, 1.2),
+                plan("middle", 2.7, 10, 0, 1.1, 0.5),
                 plan("high", 11, 22, 0, 1.4, 0.8));
         holds(gateways, seed, plans, customers(gateways, 200, 120, 40), new Habits(0.09, 3, 0.2, 5, 2800, r -> 1), 1);
     }
@@ -55,10 +58,10 @@
     @ParameterizedTest
     @CsvSource({"20, 1", "20, 2", "20, 3", "95, 1", "95, 2", "95, 3"})
     void whereRequestsDifferAndAPlanLimitsThoseOpenAtOnce(int gateways, long seed) {
-        List<Plan> plans = List.of(plan("low", 1.6, 8, 0, 0.88, 1.2), plan("open", 0, 0, 2, 1.3, 1.2),
-                plan("high", 30, 60, 0, 1.8, 1.2));
-        Habits habits = new Habits(0.1, 3.8, 0.2, 4.6, 3000,
-                r -> Math.min(4, Math.max(1, Math.ceil(-2 * Math.log(1 - r.nextDouble())))));
+        List<Plan> plans = List.of(
+                plan("low", 1.6, 8, 0, 0.88, 1.2), plan("open", 0, 0, 2, 1.3, 1.2), plan("high", 30, 60, 0, 1.8, 1.2));
+        Habits habits = new Habits(
+                0.1, 3.8, 0.2, 4.6, 3000, r -> Math.min(4, Math.max(1, Math.ceil(-2 * Math.log(1 - r.nextDouble())))));
         holds(gateways, seed, plans, customers(gateways, 360, 105, 42), habits, 4);
     }
 }
