--- a/src/test/java/caperrudder/OverQuotaUnderLoadTest.java
+++ b/src/test/java/caperrudder/OverQuotaUnderLoadTest.java
@@ -28,8 +28,15 @@
     private static final double ALLOWED = 0.1; // more than the price of the policy that sees late
 
     /** A deployment for a hundred gateways; of others, as many customers and hosts as their number asks. */
-    record Deployment(List<Plan> plans, int[] customers, Habits habits, double maxUnits, int hosts, int cores,
-            double workMsPerUnit, List<RequestClass> classes) { }
+    record Deployment(
+            List<Plan> plans,
+            int[] customers,
+            Habits habits,
+            double maxUnits,
+            int hosts,
+            int cores,
+            double workMsPerUnit,
+            List<RequestClass> classes) {}
 
     private static Plan plan(String name, double rate, double burst, int openLimit, double price, double overCost) {
         return new Plan(name, rate, burst, openLimit, price, 0, overCost, 0, 0, 0);
@@ -41,44 +48,71 @@
 
     /** Requests of one to four units, and a plan that limits the attempts open at once. */
     private static final Deployment SIZES = new Deployment(
-            List.of(plan("low", 1.1, 8, 0, 0.88, 1.2), plan("open", 0, 0, 2, 1.3, 1.2),
+            List.of(
+                    plan("low", 1.1, 8, 0, 0.88, 1.2),
+                    plan("open", 0, 0, 2, 1.3, 1.2),
                     plan("high", 30, 47, 0, 1.8, 1.2)),
             new int[] {330, 60, 14},
-            new Habits(0.12, 4.5, 0.2, 5.5, 4000,
+            new Habits(
+                    0.12,
+                    4.5,
+                    0.2,
+                    5.5,
+                    4000,
                     r -> Math.min(4, Math.max(1, Math.ceil(-2 * Math.log(1 - r.nextDouble()))))),
-            4, 56, 2, 130, List.of(requestClass("look", 824, 2617, 1), requestClass("lend", 1237, 2617, 2)));
+            4,
+            56,
+            2,
+            130,
+            List.of(requestClass("look", 824, 2617, 1), requestClass("lend", 1237, 2617, 2)));
 
     /** Requests of one unit each, long ones, and plans that price what is beyond differently. */
     private static final Deployment ONE_UNIT = new Deployment(
-            List.of(plan("low", 0.8, 3.2, 0, 0.8, 1.2), plan("middle", 2.7, 10, 0, 1.1, 0.5),
+            List.of(
+                    plan("low", 0.8, 3.2, 0, 0.8, 1.2),
+                    plan("middle", 2.7, 10, 0, 1.1, 0.5),
                     plan("high", 11, 22, 0, 1.4, 0.8)),
-            new int[] {210, 80, 22}, new Habits(0.1, 4, 0.22, 6, 3500, r -> 1),
-            1, 60, 3, 400, List.of(requestClass("view", 1500, 5000, 1), requestClass("swap", 2000, 5000, 2)));
+            new int[] {210, 80, 22},
+            new Habits(0.1, 4, 0.22, 6, 3500, r -> 1),
+            1,
+            60,
+            3,
+            400,
+            List.of(requestClass("view", 1500, 5000, 1), requestClass("swap", 2000, 5000, 2)));
 
     /** A low rate with a small burst, a limit of two, and an excess that costs half. */
     private static final Deployment SMALL_BURSTS = new Deployment(
             List.of(plan("low", 0.5, 2, 0, 1, 0.5), plan("open", 0, 0, 2, 1.2, 0.5), plan("high", 12, 18, 0, 1.5, 0.5)),
             new int[] {300, 50, 24},
             new Habits(0.14, 4.5, 0.24, 6, 4000, r -> r.nextInt(3) == 0 ? 2 : 1),
-            2, 56, 2, 160, List.of(requestClass("look", 700, 2500, 1), requestClass("lend", 1100, 2500, 2)));
+            2,
+            56,
+            2,
+            160,
+            List.of(requestClass("look", 700, 2500, 1), requestClass("lend", 1100, 2500, 2)));
 
     private static Result[] play(Deployment d, int gateways, long seed) {
-        int[] customers = Arrays.stream(d.customers()).map(c -> c * gateways / 100).toArray();
+        int[] customers =
+                Arrays.stream(d.customers()).map(c -> c * gateways / 100).toArray();
         List<QuotaWorld.Try> tries =
                 QuotaWorld.tries(gateways, d.plans(), customers, d.habits(), ANSWER_MS, RUN_MS, seed);
         Load load = new Load(d.hosts() * gateways / 100, d.cores(), d.workMsPerUnit(), d.classes());
         LoadedQuotaWorld seenLate = new LoadedQuotaWorld(gateways, tries, load);
         LoadedQuotaWorld fleet = new LoadedQuotaWorld(gateways, tries, load);
-        return new Result[] {fleet.play(fleet.fleet(d.plans(), d.maxUnits(), seed), seed),
-                seenLate.play(seenLate.seenLate(), seed)};
+        return new Result[] {
+            fleet.play(fleet.fleet(d.plans(), d.maxUnits(), seed), seed), seenLate.play(seenLate.seenLate(), seed)
+        };
     }
 
     private static void holds(Deployment d, int gateways, double priceOverLate) {
-        List<Result[]> all = LongStream.rangeClosed(1, SEEDS).mapToObj(seed -> play(d, gateways, seed)).toList();
+        List<Result[]> all = LongStream.rangeClosed(1, SEEDS)
+                .mapToObj(seed -> play(d, gateways, seed))
+                .toList();
         Result fleet = Result.mean(all.stream().map(r -> r[0]).toList());
         Result late = Result.mean(all.stream().map(r -> r[1]).toList());
         String told = fleet + "; seen late: " + late;
-        assertAll(() -> assertTrue(fleet.price() <= late.price() + priceOverLate, told),
+        assertAll(
+                () -> assertTrue(fleet.price() <= late.price() + priceOverLate, told),
                 () -> assertTrue(fleet.served() >= late.served(), told));
     }
 
--- a/src/test/java/caperrudder/PartsTest.java
+++ b/src/test/java/caperrudder/PartsTest.java
@@ -32,7 +32,7 @@
 
     /** Carries tells with a beat's delay and answers what was sent. */
     private void pass(double ms) {
-        for (double end = all.get(0).now + ms; all.get(0).now < end;) {
+        for (double end = all.get(0).now + ms; all.get(0).now < end; ) {
             for (FakeGateway g : all) {
                 g.pass(10);
             }
@@ -158,8 +158,11 @@
         g.brain.peerSaid(g.now, member, once);
         g.brain.peerSaid(g.now, member, once);
         g.pass(100);
-        Tell.Entry answer = g.told.stream().flatMap(t -> Tell.read(t.data()).entries().stream())
-                .filter(Tell.Entry::answer).findFirst().orElseThrow();
+        Tell.Entry answer = g.told.stream()
+                .flatMap(t -> Tell.read(t.data()).entries().stream())
+                .filter(Tell.Entry::answer)
+                .findFirst()
+                .orElseThrow();
         assertEquals(4, answer.want());
         assertEquals(8.0 / 12, answer.fullness(), 0.05);
     }
@@ -175,7 +178,10 @@
     void withItsKeepersSilentAGatewayHasTheEvenSplit() {
         gateways(4);
         int[] keepers = State.ranked(42, 0, 4, 4, 2);
-        int member = IntStream.range(0, 4).filter(g -> g != keepers[0] && g != keepers[1]).findFirst().orElseThrow();
+        int member = IntStream.range(0, 4)
+                .filter(g -> g != keepers[0] && g != keepers[1])
+                .findFirst()
+                .orElseThrow();
         cut = true;
         pass(4000);
         double units = flood(20, member);
@@ -193,7 +199,11 @@
         all.get(1).ask("b", "read", "small", 42, 4, 2);
         all.get(0).pass(400);
         all.get(1).pass(400);
-        byte[] good = all.stream().flatMap(g -> g.told.stream()).findFirst().orElseThrow().data();
+        byte[] good = all.stream()
+                .flatMap(g -> g.told.stream())
+                .findFirst()
+                .orElseThrow()
+                .data();
         for (int i = 0; i < good.length; i++) {
             byte[] bad = good.clone();
             bad[i] ^= 0x10;
@@ -207,10 +217,10 @@
     @Test
     void aTellKeepsWhatItSays() {
         long customer = 4569004829183723L % (1L << 33);
-        Tell.Entry tell = new Tell.Entry(false, true, true, false, true, customer, 255, 389, 390, 12.5, 3.25, 7.5,
-                -0.5, 300, 0);
-        Tell.Entry answer = new Tell.Entry(true, false, true, true, false, customer, 1, 0, 0, 12.5, 3.25, 7.5,
-                0.25, 4, 70_000.5);
+        Tell.Entry tell =
+                new Tell.Entry(false, true, true, false, true, customer, 255, 389, 390, 12.5, 3.25, 7.5, -0.5, 300, 0);
+        Tell.Entry answer =
+                new Tell.Entry(true, false, true, true, false, customer, 1, 0, 0, 12.5, 3.25, 7.5, 0.25, 4, 70_000.5);
         Tell said = new Tell(-5, 9, 65_535, 0, List.of(tell, answer));
         assertEquals(said, Tell.read(said.bytes()));
     }
@@ -247,14 +257,36 @@
     private static int letInOfFour(int usedPct) {
         Settings s = FakeGateway.settings(0, 3);
         Limits alone = new Limits(4, false, true, false, false, true, 500, 0);
-        FakeGateway g = new FakeGateway(1000, new Settings(s.seed(), 0, 3, s.zone(), false, s.classes(), s.plans(),
-                s.reportNames(), alone, s.rules(), new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0)));
+        FakeGateway g = new FakeGateway(
+                1000,
+                new Settings(
+                        s.seed(),
+                        0,
+                        3,
+                        s.zone(),
+                        false,
+                        s.classes(),
+                        s.plans(),
+                        s.reportNames(),
+                        alone,
+                        s.rules(),
+                        new Sharing(false, 0, 1000, false, 4, 0, 0, 0, 0)));
         g.withHosts("a1", "a2", "a3");
         for (int i = 0; i < 5; i++) {
             g.pass(i == 4 ? 900 : 0);
             g.ask("r" + i, "read", "small", 7, 1, 3);
-            g.brain.attemptEnded(g.now, new AttemptResult("r" + i, 0, g.hostOf("r" + i), Outcome.OK, 10, true,
-                    1 + (i == 4 ? usedPct : 0), 0, new double[0]));
+            g.brain.attemptEnded(
+                    g.now,
+                    new AttemptResult(
+                            "r" + i,
+                            0,
+                            g.hostOf("r" + i),
+                            Outcome.OK,
+                            10,
+                            true,
+                            1 + (i == 4 ? usedPct : 0),
+                            0,
+                            new double[0]));
         }
         int before = g.sent.size();
         for (int i = 0; i < 4; i++) {
--- a/src/test/java/caperrudder/QuotaFleetTest.java
+++ b/src/test/java/caperrudder/QuotaFleetTest.java
@@ -27,7 +27,7 @@
     private static final double REFUSED_WITH_ROOM = 0.04; // the design's limit on quiet days
 
     /** One try as the customers make them, whatever became of those before. */
-    private record Try(double at, int gateway, long customer, Plan plan) { }
+    private record Try(double at, int gateway, long customer, Plan plan) {}
 
     /** What all have used: the store that counts, and how it stood before. */
     private static final class Store {
@@ -101,7 +101,9 @@
 
     private static double worth(List<Try> tries) {
         Map<Long, Store> stores = new HashMap<>();
-        return tries.stream().filter(t -> stores.computeIfAbsent(t.customer(), c -> new Store(t.plan())).take(t.at()))
+        return tries.stream()
+                .filter(t -> stores.computeIfAbsent(t.customer(), c -> new Store(t.plan()))
+                        .take(t.at()))
                 .count();
     }
 
@@ -128,8 +130,18 @@
         List<FakeGateway> fleet = new ArrayList<>();
         String[] hosts = IntStream.range(0, HOSTS).mapToObj(h -> "a" + h).toArray(String[]::new);
         for (int i = 0; i < GATEWAYS; i++) {
-            Settings own = new Settings(seed + i, i, GATEWAYS, "a", false, s.classes(), plans, s.reportNames(),
-                    s.limits(), s.rules(), new Sharing(false, 0, PERIOD_MS, false, 1, 0, 0, 0, 0));
+            Settings own = new Settings(
+                    seed + i,
+                    i,
+                    GATEWAYS,
+                    "a",
+                    false,
+                    s.classes(),
+                    plans,
+                    s.reportNames(),
+                    s.limits(),
+                    s.rules(),
+                    new Sharing(false, 0, PERIOD_MS, false, 1, 0, 0, 0, 0));
             fleet.add(new FakeGateway(0, own).withHosts(hosts));
         }
         Tally tally = new Tally();
@@ -149,8 +161,19 @@
             FakeGateway g = fleet.get(t.gateway());
             g.runTo(t.at());
             String id = "t" + serial++;
-            g.brain.request(t.at(), new Request(id, t.at() + 3000, t.at(), false, "read", t.customer(),
-                    t.plan().name(), 1, 0, GATEWAYS));
+            g.brain.request(
+                    t.at(),
+                    new Request(
+                            id,
+                            t.at() + 3000,
+                            t.at(),
+                            false,
+                            "read",
+                            t.customer(),
+                            t.plan().name(),
+                            1,
+                            0,
+                            GATEWAYS));
             boolean in = g.sends(id) > 0;
             count(tally, stores.computeIfAbsent(t.customer(), c -> new Store(t.plan())), t, in);
             if (in) {
@@ -169,8 +192,8 @@
         List<Try> tries = tries(seed, plans);
         Tally fleet = byTheFleet(seed, tries, plans);
         Tally late = seenLate(tries);
-        String told = "price %.3f, seen late %.3f; refused with room %.3f".formatted(fleet.price(), late.price(),
-                fleet.withRoom());
+        String told = "price %.3f, seen late %.3f; refused with room %.3f"
+                .formatted(fleet.price(), late.price(), fleet.withRoom());
         assertTrue(fleet.price() <= late.price() + MORE, told);
         assertTrue(fleet.withRoom() < REFUSED_WITH_ROOM, told);
     }
--- a/src/test/java/caperrudder/QuotaWorld.java
+++ b/src/test/java/caperrudder/QuotaWorld.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.TreeMap;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 
@@ -34,7 +33,7 @@
     interface Policy {
         boolean admits(Try t);
 
-        default void ended(Try t, double at, int usedPct) { }
+        default void ended(Try t, double at, int usedPct) {}
     }
 
     /** Shares of the worth that one who sees all first tries would let in. */
@@ -60,14 +59,15 @@
         return uses.computeIfAbsent(t.customer(), c -> new TrueUse(t.plan()));
     }
 
-    private record End(double at, Try of) { }
+    private record End(double at, Try of) {}
 
     private double worthInside() {
         QuotaWorld all = new QuotaWorld(gateways, tries, answerMs);
         PriorityQueue<End> ends = new PriorityQueue<>(Comparator.comparingDouble(End::at));
         double worth = 0;
         for (Try t : tries) {
-            for (; !ends.isEmpty() && ends.peek().at() <= t.at(); ends.poll()) all.use(ends.peek().of()).ended(ends.peek().at());
+            for (; !ends.isEmpty() && ends.peek().at() <= t.at(); ends.poll())
+                all.use(ends.peek().of()).ended(ends.peek().at());
             if (!all.use(t).holds(t.at(), t.units())) continue;
             all.use(t).take(t.at(), t.units());
             ends.add(new End(t.at() + answerMs, t));
@@ -106,8 +106,8 @@
             if (t.further() == 0 || random.nextDouble() > COMES_AGAIN) continue;
             int other = (t.first() + random.nextInt(t.spread())) % gateways;
             double wait = BACKOFF_MS * Math.pow(2, 2 - t.further()) * (0.5 + random.nextDouble());
-            coming.add(new Try(t.at() + wait, other, t.customer(), t.plan(), t.units(), t.first(), t.spread(),
-                    t.further() - 1));
+            coming.add(new Try(
+                    t.at() + wait, other, t.customer(), t.plan(), t.units(), t.first(), t.spread(), t.further() - 1));
         }
         double worth = worthInside();
         return new Result(served / worth, cost / worth, (double) withRoom / made);
@@ -121,10 +121,22 @@
     Policy fleet(List<Plan> plans, double maxUnits, long seed) {
         Settings s = FakeGateway.metered(0, gateways, seed);
         List<FakeGateway> fleet = new ArrayList<>();
-        String[] hosts = IntStream.range(0, HOSTS_PER_GATEWAY * gateways).mapToObj(h -> "a" + h).toArray(String[]::new);
+        String[] hosts = IntStream.range(0, HOSTS_PER_GATEWAY * gateways)
+                .mapToObj(h -> "a" + h)
+                .toArray(String[]::new);
         for (int i = 0; i < gateways; i++) {
-            Settings own = new Settings(seed + i, i, gateways, "a", false, s.classes(), plans, s.reportNames(),
-                    s.limits(), s.rules(), new Sharing(false, 0, PERIOD_MS, false, maxUnits, 0, 0, 0, 0));
+            Settings own = new Settings(
+                    seed + i,
+                    i,
+                    gateways,
+                    "a",
+                    false,
+                    s.classes(),
+                    plans,
+                    s.reportNames(),
+                    s.limits(),
+                    s.rules(),
+                    new Sharing(false, 0, PERIOD_MS, false, maxUnits, 0, 0, 0, 0));
             fleet.add(new FakeGateway(0, own).withHosts(hosts));
         }
         return new Policy() {
@@ -135,8 +147,19 @@
                 FakeGateway g = fleet.get(t.gateway());
                 g.runTo(t.at());
                 String id = "t" + ids.size() + "-" + t.at();
-                g.brain.request(t.at(), new Request(id, t.at() + 3000, t.at(), false, "read", t.customer(),
-                        t.plan().name(), t.units(), t.first(), t.spread()));
+                g.brain.request(
+                        t.at(),
+                        new Request(
+                                id,
+                                t.at() + 3000,
+                                t.at(),
+                                false,
+                                "read",
+                                t.customer(),
+                                t.plan().name(),
+                                t.units(),
+                                t.first(),
+                                t.spread()));
                 boolean in = g.sends(id) > 0;
                 if (in) ids.put(t, id);
                 return in;
@@ -152,15 +175,20 @@
     }
 
     /** How the customers of a deployment behave. */
-    record Habits(double heavyShare, double heavyTimes, double spikyShare, double spikeTimes, double spikeMs,
-            ToDoubleFunction<Random> units) { }
+    record Habits(
+            double heavyShare,
+            double heavyTimes,
+            double spikyShare,
+            double spikeTimes,
+            double spikeMs,
+            ToDoubleFunction<Random> units) {}
 
     /**
      * Most customers use a part of their quota, some nearly all, some ask far more for seconds or all the time;
      * each comes in mostly by some gateways of its set.
      */
-    static List<Try> tries(int gateways, List<Plan> plans, int[] customers, Habits habits, double answerMs,
-            double runMs, long seed) {
+    static List<Try> tries(
+            int gateways, List<Plan> plans, int[] customers, Habits habits, double answerMs, double runMs, long seed) {
         Random r = new Random(seed);
         List<Try> all = new ArrayList<>();
         long customer = 0;
@@ -176,7 +204,7 @@
                 int spread = Math.max(2, (int) (gateways * (0.5 + 0.5 * r.nextDouble())));
                 int first = r.nextInt(gateways);
                 double spikeAt = r.nextDouble() * runMs;
-                for (double at = 1; at < runMs;) {
+                for (double at = 1; at < runMs; ) {
                     boolean spike = spiky && at >= spikeAt && at < spikeAt + habits.spikeMs();
                     double units = habits.units().applyAsDouble(r);
                     int gateway = (first + (int) (spread * Math.pow(r.nextDouble(), 2))) % gateways;
--- a/src/test/java/caperrudder/RankedHostsTest.java
+++ b/src/test/java/caperrudder/RankedHostsTest.java
@@ -25,7 +25,8 @@
     @Test
     void itFindsHostsByIdAndByRankAsASortedSetDoes() {
         Random random = new Random(3);
-        Comparator<Server> order = Comparator.<Server>comparingInt(s -> key(s.info.id())).thenComparing(s -> s.info.id());
+        Comparator<Server> order =
+                Comparator.<Server>comparingInt(s -> key(s.info.id())).thenComparing(s -> s.info.id());
         TreeSet<Server> expected = new TreeSet<>(order);
         RankedHosts ranked = new RankedHosts();
         for (int step = 0; step < 40_000; step++) {
--- a/src/test/java/caperrudder/TrueUse.java
+++ b/src/test/java/caperrudder/TrueUse.java
@@ -60,10 +60,13 @@
         double begin = end - QuotaWorld.PERIOD_MS;
         if (end <= 0) return 1;
         if (plan.rate() > 0) {
-            double used = units.subMap(begin, end).values().stream().mapToDouble(u -> u).sum();
+            double used = units.subMap(begin, end).values().stream()
+                    .mapToDouble(u -> u)
+                    .sum();
             return 1 + (int) (100 * used * 1000 / QuotaWorld.PERIOD_MS / plan.rate());
         }
-        int peak = outs.subMap(begin, end).values().stream().mapToInt(o -> o).max().orElse(0);
+        int peak =
+                outs.subMap(begin, end).values().stream().mapToInt(o -> o).max().orElse(0);
         return 1 + 100 * Math.max(peak, out(begin)) / plan.openLimit();
     }
 }
--- a/src/test/java/caperrudder/net/AdminServerTest.java
+++ b/src/test/java/caperrudder/net/AdminServerTest.java
@@ -51,8 +51,17 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"GET /api/ready,200", "GET /api/telemetry,200", "GET /api/ready?now=1,200", "POST /api/ready,405",
-        "DELETE /api/telemetry,405", "GET /api/ready/,404", "GET /,404", "POST /none,404", "GET  x  y z,400"})
+    @CsvSource({
+        "GET /api/ready,200",
+        "GET /api/telemetry,200",
+        "GET /api/ready?now=1,200",
+        "POST /api/ready,405",
+        "DELETE /api/telemetry,405",
+        "GET /api/ready/,404",
+        "GET /,404",
+        "POST /none,404",
+        "GET  x  y z,400"
+    })
     void answersExactlyItsCalls(String line, int status) throws Exception {
         assertEquals(status, call(admin(nodeBefore()), line).status());
     }
@@ -87,7 +96,8 @@
         Node node = nodeBefore(host);
         AdminServer admin = admin(node);
         Client c = client(node);
-        String tiny = view("t", Sockets.PATIENCE_MS).replace("X-Plan: free", "X-Plan: tiny")
+        String tiny = view("t", Sockets.PATIENCE_MS)
+                .replace("X-Plan: free", "X-Plan: tiny")
                 .replace("b4d65521", "b4d65522");
         assertEquals(200, c.send(tiny).receive().status());
         assertEquals(429, c.send(tiny).receive().status());
--- a/src/test/java/caperrudder/net/ClientReadingTest.java
+++ b/src/test/java/caperrudder/net/ClientReadingTest.java
@@ -27,24 +27,33 @@
 
 /** Clients that send what can't be read, or nothing: each gets an error or a close, and no host hears of it. */
 class ClientReadingTest extends SocketTest {
-    private static final String ORDER = "POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers("o", Sockets.PATIENCE_MS)
-            + "Idempotency-Key: k\r\n";
+    private static final String ORDER =
+            "POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers("o", Sockets.PATIENCE_MS) + "Idempotency-Key: k\r\n";
     private static final String INNER = "GET /view/inner HTTP/1.1\r\n\r\n";
 
     /** Where two readers may see another end, a second request hides: none of these may go on, nor what follows. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
-        "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", "Content-Length: 3, 3\r\n\r\nabc",
-        "Content-Length: +3\r\n\r\nabc", "Content-Length: 03\r\n\r\nabc", "Content-Length: -3\r\n\r\n",
-        "Content-Length: 0x3\r\n\r\nabc", "Content-Length: 99999999999999999999\r\n\r\n",
-        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
-        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "X-Plan: tiny\r\nContent-Length: 0\r\n\r\n",
-        "X-Quota: units=2,spread=1,first=0\r\nContent-Length: 0\r\n\r\n",
-        "X-Trace-Id: other\r\nContent-Length: 0\r\n\r\n", "no colon here\r\nContent-Length: 0\r\n\r\n",
-        "Content-Length : 3\r\n\r\nabc"})
+    @ValueSource(
+            strings = {
+                "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+                "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+                "Content-Length: 3, 3\r\n\r\nabc",
+                "Content-Length: +3\r\n\r\nabc",
+                "Content-Length: 03\r\n\r\nabc",
+                "Content-Length: -3\r\n\r\n",
+                "Content-Length: 0x3\r\n\r\nabc",
+                "Content-Length: 99999999999999999999\r\n\r\n",
+                "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+                "X-Plan: tiny\r\nContent-Length: 0\r\n\r\n",
+                "X-Quota: units=2,spread=1,first=0\r\nContent-Length: 0\r\n\r\n",
+                "X-Trace-Id: other\r\nContent-Length: 0\r\n\r\n",
+                "no colon here\r\nContent-Length: 0\r\n\r\n",
+                "Content-Length : 3\r\n\r\nabc"
+            })
     void aRequestOfUncertainEndIsRefusedAndItsConnectionClosed(String rest) throws Exception {
         Server host = host(SocketTest::echo);
         Client c = client(nodeBefore(host)).send(ORDER + rest + INNER);
@@ -62,23 +71,53 @@
         Server host = host(SocketTest::echo);
         Client c = client(nodeBefore(host));
         String plain = view("v", Sockets.PATIENCE_MS);
-        assertEquals(400, c.send(plain.substring(0, plain.length() - 2) + rest).receive().status());
+        assertEquals(
+                400,
+                c.send(plain.substring(0, plain.length() - 2) + rest).receive().status());
         assertEquals(200, c.send(plain).receive().status());
         assertEquals(1, host.asked.size());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"units=1|units=5", "units=1|units=-1", "units=1|units=0", "units=1|units=NaN",
-        "units=1|units=1e0", "units=1|units=0x1p0", "units=1|units=Infinity", "units=1|units=1d",
-        "units=1|units=1,units=2", "spread=1|spread=0", "spread=1|spread=2", "spread=1|spread=4294967297",
-        "spread=1|spread=1.0", "first=0|first=1", "first=0|first=-1", "b4d65521|b4d6552", "00000000b4|+0000000b4",
-        "00000000b4|00000002b4", "In-Ms: 1000|In-Ms: 1e3", "In-Ms: 1000|In-Ms: -5", "In-Ms: 1000|In-Ms: 0",
-        "In-Ms: 1000|In-Ms: 99999999999", "X-Trace-Id: v|X-Trace-Id: a b", "/view/|view/", "HTTP/1.1|HTTP/3.7"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "units=1|units=5",
+                "units=1|units=-1",
+                "units=1|units=0",
+                "units=1|units=NaN",
+                "units=1|units=1e0",
+                "units=1|units=0x1p0",
+                "units=1|units=Infinity",
+                "units=1|units=1d",
+                "units=1|units=1,units=2",
+                "spread=1|spread=0",
+                "spread=1|spread=2",
+                "spread=1|spread=4294967297",
+                "spread=1|spread=1.0",
+                "first=0|first=1",
+                "first=0|first=-1",
+                "b4d65521|b4d6552",
+                "00000000b4|+0000000b4",
+                "00000000b4|00000002b4",
+                "In-Ms: 1000|In-Ms: 1e3",
+                "In-Ms: 1000|In-Ms: -5",
+                "In-Ms: 1000|In-Ms: 0",
+                "In-Ms: 1000|In-Ms: 99999999999",
+                "X-Trace-Id: v|X-Trace-Id: a b",
+                "/view/|view/",
+                "HTTP/1.1|HTTP/3.7"
+            })
     void whatCantBeIsNotCounted(String good, String bad) throws Exception {
         Server host = host(SocketTest::echo);
         String plain = view("v", 1000);
         assertTrue(plain.contains(good));
-        assertEquals(400, client(nodeBefore(host)).send(plain.replace(good, bad)).receive().status());
+        assertEquals(
+                400,
+                client(nodeBefore(host))
+                        .send(plain.replace(good, bad))
+                        .receive()
+                        .status());
         assertEquals(List.of(), host.asked);
     }
 
@@ -86,7 +125,9 @@
     @Test
     void noRequestWaitsLongerThanItsClassDoes() throws Exception {
         Server host = host(SocketTest::echo);
-        assertEquals(200, client(nodeBefore(host)).send(view("v", 999_999_999)).receive().status());
+        assertEquals(
+                200,
+                client(nodeBefore(host)).send(view("v", 999_999_999)).receive().status());
         assertTrue(Integer.parseInt(host.next().header("X-Expires-In-Ms")) <= 60_000);
     }
 
@@ -101,16 +142,21 @@
         Node node = nodeBefore(host);
         Client first = client(node).send(view("same", Sockets.PATIENCE_MS));
         assertNotNull(host.next());
-        assertEquals(400, client(node).send(view("same", Sockets.PATIENCE_MS)).receive().status());
+        assertEquals(
+                400,
+                client(node).send(view("same", Sockets.PATIENCE_MS)).receive().status());
         told.countDown();
         assertEquals("for same ", first.receive().text());
         assertEquals(1, host.asked.size());
-        assertEquals("for same ", first.send(view("same", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for same ",
+                first.send(view("same", Sockets.PATIENCE_MS)).receive().text());
     }
 
     /** Before a byte of the body has come, and in its turn behind the answer that is still due. */
     @ParameterizedTest
-    @ValueSource(strings = {"Content-Length: 60000000\r\n\r\n", "Content-Length: 60000000\r\nExpect: 100-continue\r\n\r\n"})
+    @ValueSource(
+            strings = {"Content-Length: 60000000\r\n\r\n", "Content-Length: 60000000\r\nExpect: 100-continue\r\n\r\n"})
     void aBodyTooLongIsRefusedInItsTurn(String rest) throws Exception {
         CountDownLatch sent = new CountDownLatch(1);
         Server host = host((m, s) -> {
@@ -147,8 +193,14 @@
 
     /** Neither silence nor half a request had an end; each is owed an error or a close. */
     @ParameterizedTest
-    @ValueSource(strings = {"", "GET /view/x HT", "GET /view/x HTTP/1.1\r\n", "GET /view/x HTTP/1.1\r\nX-A: b\r\nX-",
-        "POST /order/x HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"})
+    @ValueSource(
+            strings = {
+                "",
+                "GET /view/x HT",
+                "GET /view/x HTTP/1.1\r\n",
+                "GET /view/x HTTP/1.1\r\nX-A: b\r\nX-",
+                "POST /order/x HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"
+            })
     void anUnfinishedRequestIsGivenUp(String half) throws Exception {
         Node node = nodeBefore(host(SocketTest::echo));
         Client c = client(node).send(half);
@@ -180,14 +232,24 @@
         List<Client> regulars = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
             regulars.add(client(node));
-            assertEquals(200, regulars.get(i).send(view("r" + i, Sockets.PATIENCE_MS)).receive().status());
+            assertEquals(
+                    200,
+                    regulars.get(i)
+                            .send(view("r" + i, Sockets.PATIENCE_MS))
+                            .receive()
+                            .status());
         }
         List<Client> silent = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
             silent.add(client(node));
         }
         for (int i = 0; i < 8; i++) {
-            assertEquals(200, regulars.get(i).send(view("s" + i, Sockets.PATIENCE_MS)).receive().status());
+            assertEquals(
+                    200,
+                    regulars.get(i)
+                            .send(view("s" + i, Sockets.PATIENCE_MS))
+                            .receive()
+                            .status());
         }
         for (Client c : silent) {
             assertNull(closedOr(c));
@@ -211,9 +273,17 @@
                 sendOrBeClosed(client(node));
             }
             Client last = client(node); // it is taken after them, so no more of them wait to be taken
-            assertEquals(200, last.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
+            assertEquals(
+                    200,
+                    last.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+                            .receive()
+                            .status());
             last.close();
-            assertEquals(200, regular.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
+            assertEquals(
+                    200,
+                    regular.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+                            .receive()
+                            .status());
         }
         assertEquals("for v ", slow.send(request.substring(100)).receive().text());
     }
@@ -228,14 +298,29 @@
         ends.push(node::stop);
         Client regular = client(node);
         for (int i = 0; i < 2; i++) {
-            assertEquals(200, regular.send(view("r" + i, Sockets.PATIENCE_MS)).receive().status());
+            assertEquals(
+                    200,
+                    regular.send(view("r" + i, Sockets.PATIENCE_MS)).receive().status());
         }
         for (int i = 0; i < 60; i++) {
             Client once = client(node);
-            assertEquals(200, once.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
-            assertEquals(200, client(node).send(view("o" + i, Sockets.PATIENCE_MS)).receive().status());
+            assertEquals(
+                    200,
+                    once.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+                            .receive()
+                            .status());
+            assertEquals(
+                    200,
+                    client(node)
+                            .send(view("o" + i, Sockets.PATIENCE_MS))
+                            .receive()
+                            .status());
             if (i % 20 == 19) { // more came in between than fit
-                assertEquals("for p" + i + " ", regular.send(view("p" + i, Sockets.PATIENCE_MS)).receive().text());
+                assertEquals(
+                        "for p" + i + " ",
+                        regular.send(view("p" + i, Sockets.PATIENCE_MS))
+                                .receive()
+                                .text());
             }
         }
     }
--- a/src/test/java/caperrudder/net/ClosingTest.java
+++ b/src/test/java/caperrudder/net/ClosingTest.java
@@ -89,11 +89,13 @@
         assertEquals("for v ", c.send(view("v", TIME)).receive().text());
         Client half = client(node);
         assertEquals("for u ", half.send(view("u", TIME)).receive().text());
-        node.loop.submit(() -> {
-            node.stopServing();
-            c.send(view("w", TIME));
-            return null;
-        }).sync();
+        node.loop
+                .submit(() -> {
+                    node.stopServing();
+                    c.send(view("w", TIME));
+                    return null;
+                })
+                .sync();
         assertNull(c.receive());
         assertNull(half.receive());
         half.send("GET /view/x HTTP/1.1\r\nX-Tr");
@@ -145,7 +147,8 @@
         assertEquals(200, regular.send(health + "\r\n").receive().status());
         for (int i = 0; i < 100; i++) { // four times as many as fit
             Client c = client(node);
-            assertEquals(200, c.send(health + "Connection: close\r\n\r\n").receive().status());
+            assertEquals(
+                    200, c.send(health + "Connection: close\r\n\r\n").receive().status());
             assertNull(c.receive());
         }
         assertEquals(200, regular.send(health + "\r\n").receive().status());
--- a/src/test/java/caperrudder/net/DiscoveryTest.java
+++ b/src/test/java/caperrudder/net/DiscoveryTest.java
@@ -35,7 +35,8 @@
     private static final String NONE_KNOWN = "{\"version\": 0, \"full\": true, \"servers\": []}";
 
     private Node node(Server agent, String known, String mode) throws IOException {
-        Node node = Sockets.node(Sockets.config(agent.address(), "127.0.0.1:0").replace(NONE_KNOWN, known)
+        Node node = Sockets.node(Sockets.config(agent.address(), "127.0.0.1:0")
+                .replace(NONE_KNOWN, known)
                 .replace("\"az\": \"a\"", "\"az\": \"a\", \"discovery\": \"" + mode + "\"")
                 .replace("\"rules\": {", "\"rules\": {\"drain_grace_ms\": 500, "));
         ends.push(node::stop);
@@ -47,7 +48,7 @@
         private final BlockingQueue<Socket> calls = new LinkedBlockingQueue<>();
         final Server server = new Server((m, s) -> calls.add(s));
 
-        ByHand() throws IOException { }
+        ByHand() throws IOException {}
 
         Socket next() throws InterruptedException {
             Socket s = calls.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
@@ -82,8 +83,8 @@
         long from = System.nanoTime();
         Socket beside = agent.next();
         assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) < 5000, "later than 6 s less a line");
-        agent.answer(beside, list(2, false, entry("h0", old.address(), "draining"),
-                entry("h1", fresh.address(), "ready")));
+        agent.answer(
+                beside, list(2, false, entry("h0", old.address(), "draining"), entry("h1", fresh.address(), "ready")));
         assertNotNull(agent.next()); // once it has been heard
         assertNull(Sockets.read(silent.getInputStream())); // and the silent one is left
         Client c = client(node);
@@ -112,7 +113,9 @@
         while (agent.next() != silent) { // its next call says that the list has been heard
             continue;
         }
-        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
     }
 
     /** Seen in the code: a new process took clients by the list that it was started with, however old. */
@@ -125,22 +128,37 @@
         Server agent = kept(new Server((m, s) -> {
             if (m.start().contains("from=41&")) {
                 early.set(started.await(200, TimeUnit.MILLISECONDS));
-                s.getOutputStream().write(ok(list(42, false, entry("h0", drained.address(), "draining"),
-                        entry("h1", fresh.address(), "ready"))));
+                s.getOutputStream()
+                        .write(ok(list(
+                                42,
+                                false,
+                                entry("h0", drained.address(), "draining"),
+                                entry("h1", fresh.address(), "ready"))));
             }
         }));
         Node node = node(agent, list(41, true, entry("h0", drained.address(), "ready")), "automatic");
         started.countDown();
-        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
         assertFalse(early.get());
         assertEquals(0, drained.asked.size());
     }
 
     /** Each of these once emptied the list, or was asked for again thousands of times a second. */
     @ParameterizedTest
-    @ValueSource(strings = {"{\"version\":2,\"full\":true,\"servers\":[]}", "{\"full\":true,\"servers\":[]}",
-        "{\"full\":false,\"servers\":[]}", "{\"version\":3,\"full\":true}", "[]", "{\"version\":\"x\",\"servers\":[]}",
-        "{\"version\":4,\"full\":true,\"servers\":[", "", "not JSON"})
+    @ValueSource(
+            strings = {
+                "{\"version\":2,\"full\":true,\"servers\":[]}",
+                "{\"full\":true,\"servers\":[]}",
+                "{\"full\":false,\"servers\":[]}",
+                "{\"version\":3,\"full\":true}",
+                "[]",
+                "{\"version\":\"x\",\"servers\":[]}",
+                "{\"version\":4,\"full\":true,\"servers\":[",
+                "",
+                "not JSON"
+            })
     void whatIsNoListLeavesTheLastGoodOneAndIsAskedAgainLessAndLessOften(String bad) throws Exception {
         Server host = host(SocketTest::echo);
         Server agent = kept(new Server((m, s) -> s.getOutputStream().write(ok(bad))));
@@ -151,15 +169,17 @@
         long from = System.nanoTime();
         assertNotNull(agent.next());
         assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) >= 300, "after 0.5 to 1.5 times 0.8 s");
-        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
     }
 
     /** Refused by its length as told, before anything of it has come. */
     @Test
     void aListThatIsAnnouncedBeyondAllMemoryIsRefusedAndTheLastGoodOneServes() throws Exception {
         Server host = host(SocketTest::echo);
-        Server agent = kept(new Server((m, s) -> s.getOutputStream().write(
-                bytes("HTTP/1.1 200 OK\r\nContent-Length: " + Long.MAX_VALUE + "\r\n\r\n{"))));
+        Server agent = kept(new Server((m, s) -> s.getOutputStream()
+                .write(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + Long.MAX_VALUE + "\r\n\r\n{"))));
         Node node = node(agent, list(41, true, entry("h0", host.address(), "ready")), "automatic");
         assertNotNull(agent.next());
         assertNotNull(agent.ended.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
@@ -167,7 +187,9 @@
         long from = System.nanoTime();
         assertTrue(agent.next().start().contains("from=41&"));
         assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from) >= 500, "after 0.5 to 1.5 times 2 s");
-        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
     }
 
     /** A list of the whole fleet once kept the event loop for half a second. */
@@ -186,10 +208,12 @@
                 s.getOutputStream().write(list);
             }
         }));
-        NioEventLoopGroup group = new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(),
-                () -> (select, hasTasks) -> {
+        NioEventLoopGroup group =
+                new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(), () -> (select, hasTasks) -> {
                     turns.incrementAndGet();
-                    return DefaultSelectStrategyFactory.INSTANCE.newSelectStrategy().calculateStrategy(select, hasTasks);
+                    return DefaultSelectStrategyFactory.INSTANCE
+                            .newSelectStrategy()
+                            .calculateStrategy(select, hasTasks);
                 });
         Node node = new Node(configured(agent), Brain::new, Transport.TCP, group);
         ends.push(node::stop);
@@ -208,14 +232,20 @@
         Server fresh = host(SocketTest::echo);
         Server agent = kept(new Server((m, s) -> {
             if (m.start().contains("from=41&")) {
-                s.getOutputStream().write(ok(list(7, false, entry("h0", old.address(), "draining"),
-                        entry("h0", fresh.address(), "ready").replace("\"zone\":\"a\"", "\"zone\":\"b\""))));
+                s.getOutputStream()
+                        .write(ok(list(
+                                7,
+                                false,
+                                entry("h0", old.address(), "draining"),
+                                entry("h0", fresh.address(), "ready").replace("\"zone\":\"a\"", "\"zone\":\"b\""))));
             }
         }));
         Node node = node(agent, list(41, true, entry("h0", old.address(), "ready")), "automatic");
         assertNotNull(agent.next());
         assertTrue(agent.next().start().contains("from=7&"));
-        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
         assertEquals(0, old.asked.size());
         assertEquals(1, fresh.asked.size());
     }
@@ -240,7 +270,9 @@
         }));
         Node node = node(agent, NONE_KNOWN, "automatic");
         assertTrue(heard.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
-        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
     }
 
     /** Lists come with blanks and line ends, too. */
@@ -249,15 +281,20 @@
         Server host = host(SocketTest::echo);
         Server agent = kept(new Server((m, s) -> {
             if (!m.start().contains("from=1&")) {
-                s.getOutputStream().write(ok(list(1, true, entry("h0", host.address(), "ready"))
-                        .replace(",", ",\r\n    ").replace("{", " {\n\t").replace("}", "\n}\n")));
+                s.getOutputStream()
+                        .write(ok(list(1, true, entry("h0", host.address(), "ready"))
+                                .replace(",", ",\r\n    ")
+                                .replace("{", " {\n\t")
+                                .replace("}", "\n}\n")));
             }
         }));
         Node node = node(agent, NONE_KNOWN, "automatic");
         for (int i = 0; i < 2; i++) {
             assertNotNull(agent.next());
         }
-        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
     }
 
     private static final byte[] REFUSAL =
@@ -325,7 +362,9 @@
         Socket third = agent.next();
         assertTrue(msSince(from) < 3100, "4 s less a line, but after " + msSince(from));
         agent.answer(third, list(1, true, entry("h1", fresh.address(), "ready")));
-        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
     }
 
     /** A new configuration that names the same agent leaves the watch as it is, and what that tells is heard. */
@@ -335,11 +374,17 @@
         Node node = nodeWith();
         awaitWatches(1);
         node.reload(node.config);
-        node.loop.submit(() -> { }).sync(); // it has been taken in
+        node.loop.submit(() -> {}).sync(); // it has been taken in
         registry.news.add(list(2, false, entry("h0", host.address(), "ready")));
         awaitWatches(2);
-        assertEquals("for v ", client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
-        assertEquals(1, registry.server.asked.stream().filter(m -> !m.start().contains("from=")).count());
+        assertEquals(
+                "for v ",
+                client(node).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                1,
+                registry.server.asked.stream()
+                        .filter(m -> !m.start().contains("from="))
+                        .count());
     }
 
     /** Twice told to move before the first new agent has answered: only the last one is heard. */
@@ -367,7 +412,12 @@
             // the gateway has left it: then it can't be heard at all
         }
         for (int i = 0; i < 3; i++) {
-            assertEquals("for v" + i + " ", client(node).send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for v" + i + " ",
+                    client(node)
+                            .send(view("v" + i, Sockets.PATIENCE_MS))
+                            .receive()
+                            .text());
         }
         assertEquals(0, gone.asked.size());
     }
--- a/src/test/java/caperrudder/net/DiscoveryTimesTest.java
+++ b/src/test/java/caperrudder/net/DiscoveryTimesTest.java
@@ -29,7 +29,10 @@
             int failures = seed % 12;
             double rest = t.pauseMs(REFUSES_MS, failures, false);
             ends(rest + t.firstMs() + t.besideMs(), TOLD_MS, "rest, silence, a call beside it");
-            ends(rest + t.firstMs() + t.pauseMs(REFUSES_MS, failures + 1, true) + shortLine, TOLD_MS, "silence, refusal");
+            ends(
+                    rest + t.firstMs() + t.pauseMs(REFUSES_MS, failures + 1, true) + shortLine,
+                    TOLD_MS,
+                    "silence, refusal");
             ends(rest + line + t.pauseMs(REFUSES_MS, failures + 1, false) + line, TOLD_MS, "rest, refusal, rest");
             ends(DiscoveryTimes.CONNECT_MS + rest + t.firstMs() + line, TOLD_MS, "connect, rest, silence");
             double watch = t.holdMs() + t.lineMs();
@@ -58,10 +61,16 @@
     }
 
     private static void assertSpread(int fleet, int most, ToDoubleFunction<DiscoveryTimes> time) {
-        double[] calls = new Random(1).longs(fleet) // as configurations give them
-                .mapToDouble(seed -> time.applyAsDouble(new DiscoveryTimes(false, 500, seed))).toArray();
-        int together = Arrays.stream(calls).mapToInt(from -> (int) Arrays.stream(calls)
-                .filter(c -> c >= from && c < from + 100).count()).max().orElse(0);
+        double[] calls = new Random(1)
+                .longs(fleet) // as configurations give them
+                .mapToDouble(seed -> time.applyAsDouble(new DiscoveryTimes(false, 500, seed)))
+                .toArray();
+        int together = Arrays.stream(calls)
+                .mapToInt(from -> (int) Arrays.stream(calls)
+                        .filter(c -> c >= from && c < from + 100)
+                        .count())
+                .max()
+                .orElse(0);
         assertTrue(together <= most, together + " of " + fleet + " call within 100 ms");
     }
 }
--- a/src/test/java/caperrudder/net/DrainTest.java
+++ b/src/test/java/caperrudder/net/DrainTest.java
@@ -65,7 +65,8 @@
         awaitStall(node);
         node.loop.submit(node::stopServing).sync();
         int got = 0;
-        for (Message m = Sockets.read(slow.getInputStream()); m != null && m.header("Connection") == null;
+        for (Message m = Sockets.read(slow.getInputStream());
+                m != null && m.header("Connection") == null;
                 m = Sockets.read(slow.getInputStream())) {
             assertEquals(body.length(), m.body().length);
             got++;
@@ -97,7 +98,8 @@
         assertEquals(200, half.send(view("v", Sockets.PATIENCE_MS)).receive().status());
         String request = view("w", Sockets.PATIENCE_MS);
         half.send(request.substring(0, 30));
-        assertEquals(200, client(node).send(view("x", Sockets.PATIENCE_MS)).receive().status());
+        assertEquals(
+                200, client(node).send(view("x", Sockets.PATIENCE_MS)).receive().status());
         node.loop.submit(node::stopServing).sync();
         Message answer = half.send(request.substring(30)).receive();
         assertEquals("for w ", answer.text());
--- a/src/test/java/caperrudder/net/FatalTest.java
+++ b/src/test/java/caperrudder/net/FatalTest.java
@@ -23,6 +23,7 @@
 
     @TempDir
     private Path dir;
+
     private Process process;
 
     @AfterEach
@@ -34,8 +35,14 @@
 
     private void start(String main, String argument, String config) throws Exception {
         Path file = Files.writeString(dir.resolve("config.json"), config);
-        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-Xmx32m", "-cp", System.getProperty("java.class.path"), main, argument);
+        ProcessBuilder b = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-Xmx32m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                main,
+                argument);
         b.environment().put("NODE_CONFIG", file.toString());
         b.environment().put("TMPDIR", dir.toString());
         process = b.redirectError(dir.resolve("log").toFile()).start();
@@ -49,8 +56,13 @@
 
     @Test
     void withoutMemoryForItsConfiguration() throws Exception {
-        start("caperrudder.Main", "serve", Sockets.config("127.0.0.1:1", "127.0.0.1:0",
-                java.util.Collections.nCopies(800_000, "127.0.0.1:1").toArray(String[]::new)));
+        start(
+                "caperrudder.Main",
+                "serve",
+                Sockets.config(
+                        "127.0.0.1:1",
+                        "127.0.0.1:0",
+                        java.util.Collections.nCopies(800_000, "127.0.0.1:1").toArray(String[]::new)));
         assertEnded("caperrudder: can't go on: java.lang.OutOfMemoryError: Java heap space");
     }
 
@@ -65,7 +77,8 @@
     @Test
     void whenTheModuleFailsAtARequest() throws Exception {
         start(Failing.class.getName(), "request", Sockets.config("127.0.0.1:1", "127.0.0.1:0"));
-        int port = process.getInputStream().read() << 8 | process.getInputStream().read();
+        int port =
+                process.getInputStream().read() << 8 | process.getInputStream().read();
         try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
             s.getOutputStream().write(Sockets.bytes(Sockets.view("v", Sockets.PATIENCE_MS)));
             assertEnded("caperrudder: can't go on: java.lang.StackOverflowError: request");
@@ -74,7 +87,7 @@
 
     /** Of a node that serves, for a module that fails. */
     public static final class Failing {
-        private Failing() { }
+        private Failing() {}
 
         public static void main(String[] args) throws Exception {
             Fatal.arm();
@@ -82,8 +95,8 @@
             NodeConfig config = NodeConfig.read(System.getenv("NODE_CONFIG"));
             Node node = new Node(config, act -> {
                 Brain brain = new Brain(act);
-                return (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), new Class<?>[] {Events.class},
-                        (proxy, method, values) -> {
+                return (Events) Proxy.newProxyInstance(
+                        Events.class.getClassLoader(), new Class<?>[] {Events.class}, (proxy, method, values) -> {
                             if (method.getName().equals(args[0])) {
                                 throw new StackOverflowError(args[0]);
                             }
--- a/src/test/java/caperrudder/net/HostAnswersTest.java
+++ b/src/test/java/caperrudder/net/HostAnswersTest.java
@@ -31,16 +31,21 @@
 
     /** Each once reached the client as its answer, or held the request until its time was up. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "noise with no end", "noise\r\n\r\nmore of it",
-        OK + "no colon here\r\nContent-Length: 4\r\n\r\nspam",
-        OK + "Content-Length: -1\r\nContent-Length: 4\r\n\r\nspam",
-        OK + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nspam",
-        OK + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nspam\r\n0\r\n\r\n",
-        OK + "Content-Length: 3000000000\r\n\r\nspam",
-        OK + "Content-Length: 40\r\n\r\nspam", OK + "Content-Le",
-        OK + "Transfer-Encoding: chunked\r\n\r\nzz\r\nspam\r\n", OK + "\r\nspam",
-        "HTTP/1.1 101 Go\r\n\r\nspam"})
+    @ValueSource(
+            strings = {
+                "noise with no end",
+                "noise\r\n\r\nmore of it",
+                OK + "no colon here\r\nContent-Length: 4\r\n\r\nspam",
+                OK + "Content-Length: -1\r\nContent-Length: 4\r\n\r\nspam",
+                OK + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nspam",
+                OK + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nspam\r\n0\r\n\r\n",
+                OK + "Content-Length: 3000000000\r\n\r\nspam",
+                OK + "Content-Length: 40\r\n\r\nspam",
+                OK + "Content-Le",
+                OK + "Transfer-Encoding: chunked\r\n\r\nzz\r\nspam\r\n",
+                OK + "\r\nspam",
+                "HTTP/1.1 101 Go\r\n\r\nspam"
+            })
     void aSpoiltAnswerFailsItsAttemptAtOnceAndItsConnectionCloses(String spoilt) throws Exception {
         AtomicInteger asked = new AtomicInteger();
         Server host = host((m, s) -> {
@@ -60,25 +65,35 @@
     @Test
     void aRequestWhoseAnswersAllComeSpoiltFails() throws Exception {
         Server host = host((m, s) -> s.getOutputStream().write(bytes("HTTP/1.1 twohundred\r\n\r\n")));
-        assertEquals(502, client(nodeBefore(host)).send(order("o", "b")).receive().status());
+        assertEquals(
+                502, client(nodeBefore(host)).send(order("o", "b")).receive().status());
         assertEquals(3, host.asked.size());
     }
 
     /** A connection that holds more than its answer once went back to its pool, and the rest to the next client. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 2",
-        "noise", "\r\n"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond",
+                "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 2",
+                "noise",
+                "\r\n"
+            })
     void whatComesBehindAnAnswerReachesNobody(String behind) throws Exception {
         Set<Socket> used = ConcurrentHashMap.newKeySet();
         Server host = host((m, s) -> {
             assertTrue(used.add(s), "asked again on a connection that holds more than its answer");
             String answer = "for " + m.header("X-Trace-Id");
-            s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + answer.length() + "\r\n\r\n"
-                    + answer + behind));
+            s.getOutputStream()
+                    .write(bytes(
+                            "HTTP/1.1 200 OK\r\nContent-Length: " + answer.length() + "\r\n\r\n" + answer + behind));
         });
         Client c = client(nodeBefore(host));
         for (int i = 0; i < 10; i++) {
-            assertEquals("for v" + i, c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for v" + i,
+                    c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
         }
         assertEquals(10, used.size());
     }
@@ -105,9 +120,10 @@
     @Test
     void interimAnswersAndAReportThatCantBeReadCostNothing() throws Exception {
         Server host = host((m, s) -> {
-            s.getOutputStream().write(bytes("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
-                    + "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: TEXT util=NaN,\u0001\u00ff=\r\n"
-                    + "Content-Type: \u0001\r\nContent-Length: 3\r\n\r\n"));
+            s.getOutputStream()
+                    .write(bytes("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                            + "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: TEXT util=NaN,\u0001\u00ff=\r\n"
+                            + "Content-Type: \u0001\r\nContent-Length: 3\r\n\r\n"));
             s.getOutputStream().write(bytes("abc"));
         });
         Client c = client(nodeBefore(host));
@@ -126,7 +142,9 @@
         });
         Client c = client(nodeBefore(host));
         for (int i = 0; i < 3; i++) {
-            assertEquals("for v" + i, c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for v" + i,
+                    c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
         }
     }
 
@@ -147,7 +165,9 @@
         });
         Client c = client(nodeBefore(host));
         for (int i = 0; i < 200; i++) {
-            assertEquals("for v" + i + " ", c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for v" + i + " ",
+                    c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
         }
         assertEquals(List.of(), restsMs.stream().filter(ms -> ms < 10).toList());
         assertFalse(restsMs.isEmpty(), "none was used again");
--- a/src/test/java/caperrudder/net/HostListReaderTest.java
+++ b/src/test/java/caperrudder/net/HostListReaderTest.java
@@ -6,11 +6,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import caperrudder.Gateway.Host;
+import caperrudder.Gateway.HostState;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.sun.management.ThreadMXBean;
-import caperrudder.Gateway.Host;
-import caperrudder.Gateway.HostState;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
@@ -26,12 +26,35 @@
 /** What is read in pieces is what a tree of the whole text holds. */
 class HostListReaderTest {
     private static final long ROOMY = 1L << 30;
-    private static final String[] FIELDS = {"id", "addr", "zone", "kind", "cell", "state", "weight", "started_ms",
-        "other"};
-    private static final String[] VALUES = {"\"h1\"", "\"10.0.0.1:80\"", "\"ready\"", "\"draining\"", "\"gone\"",
-        "\"\"", "\"7\"", "\" 2.5 \"", "7", "-2.75", "1e3", "99999999999", "18446744073709551616", "1e400", "true",
-        "false", "null", "{}", "[]", "{\"id\": \"inner\", \"servers\": [{\"id\": \"x\"}]}", "[[1, {\"a\": []}], \"b\"]",
-        "\"\\u00e9\\n\\\"\"", "\"10.0.0.1:99999\"", "\"[::1]:5\""};
+    private static final String[] FIELDS = {
+        "id", "addr", "zone", "kind", "cell", "state", "weight", "started_ms", "other"
+    };
+    private static final String[] VALUES = {
+        "\"h1\"",
+        "\"10.0.0.1:80\"",
+        "\"ready\"",
+        "\"draining\"",
+        "\"gone\"",
+        "\"\"",
+        "\"7\"",
+        "\" 2.5 \"",
+        "7",
+        "-2.75",
+        "1e3",
+        "99999999999",
+        "18446744073709551616",
+        "1e400",
+        "true",
+        "false",
+        "null",
+        "{}",
+        "[]",
+        "{\"id\": \"inner\", \"servers\": [{\"id\": \"x\"}]}",
+        "[[1, {\"a\": []}], \"b\"]",
+        "\"\\u00e9\\n\\\"\"",
+        "\"10.0.0.1:99999\"",
+        "\"[::1]:5\""
+    };
 
     private static byte[] utf8(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
@@ -63,24 +86,35 @@
             HostState state = HostState.DRAINING;
             InetSocketAddress address = null;
             try {
-                HostState told = switch (e.path("state").asText()) {
-                    case "ready" -> HostState.RUNNING;
-                    case "draining" -> HostState.DRAINING;
-                    case "gone" -> HostState.GONE;
-                    default -> throw new IllegalArgumentException();
-                };
-                address = told == HostState.GONE ? null : NodeConfig.address(e.path("addr").asText());
+                HostState told =
+                        switch (e.path("state").asText()) {
+                            case "ready" -> HostState.RUNNING;
+                            case "draining" -> HostState.DRAINING;
+                            case "gone" -> HostState.GONE;
+                            default -> throw new IllegalArgumentException();
+                        };
+                address = told == HostState.GONE
+                        ? null
+                        : NodeConfig.address(e.path("addr").asText());
                 state = told;
             } catch (IllegalArgumentException bad) {
                 // drains
             }
             if (!id.isEmpty()) {
-                entries.add(new HostList.Entry(new Host(id, e.path("zone").asText(), e.path("kind").asText(),
-                        e.path("cell").asInt(), state, e.path("weight").asDouble(1),
-                        e.path("started_ms").asDouble()), address));
+                entries.add(new HostList.Entry(
+                        new Host(
+                                id,
+                                e.path("zone").asText(),
+                                e.path("kind").asText(),
+                                e.path("cell").asInt(),
+                                state,
+                                e.path("weight").asDouble(1),
+                                e.path("started_ms").asDouble()),
+                        address));
             }
         }
-        return new HostList(Math.max(-1, list.path("version").asLong(-1)), list.path("full").asBoolean(), entries);
+        return new HostList(
+                Math.max(-1, list.path("version").asLong(-1)), list.path("full").asBoolean(), entries);
     }
 
     private static HostList byPieces(String text, int piece) {
@@ -105,22 +139,34 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "{\"version\": 41, \"full\": true, \"servers\": []}",
-        "{\"servers\": [%s], \"full\": true, \"version\": 41}",
-        "{\"servers\": [%s, %s], \"version\": -41}",
-        "{\"version\": 1, \"servers\": [%s], \"servers\": [%s]}",
-        "{\"version\": 1, \"servers\": [%s], \"servers\": 3}",
-        "{\"version\": 1, \"servers\": {\"servers\": [%s]}}",
-        "{\"version\": 1, \"version\": 2, \"full\": \"true\", \"servers\": [%s]}",
-        "{\"version\": 18446744073709551616, \"full\": 1, \"servers\": [%s]}",
-        "{\"version\": 1.5, \"servers\": [%s]}", "{\"version\": \"1\", \"servers\": [%s]}",
-        "{\"version\": null, \"servers\": [%s]}", "{\"full\": true, \"servers\": [%s]}", "{\"version\": 1}",
-        "{\"deep\": {\"version\": 7, \"servers\": [[%s]]}, \"version\": 1, \"servers\": [%s]}",
-        "{\"version\": 1, \"servers\": [null, 7, \"x\", [%s], [[]], {}, %s]}",
-        " \r\n\t{\"version\"\n:\n1 ,\"servers\" : [ %s\n,\n%s ] }\n\n",
-        "{\"version\": 1, \"servers\": [%s]} and more", "{\"version\": 1, \"servers\": [%s]}}",
-        "[]", "[{\"version\": 1, \"servers\": [%s]}]", "7", "\"x\"", "null", "", " "})
+    @ValueSource(
+            strings = {
+                "{\"version\": 41, \"full\": true, \"servers\": []}",
+                "{\"servers\": [%s], \"full\": true, \"version\": 41}",
+                "{\"servers\": [%s, %s], \"version\": -41}",
+                "{\"version\": 1, \"servers\": [%s], \"servers\": [%s]}",
+                "{\"version\": 1, \"servers\": [%s], \"servers\": 3}",
+                "{\"version\": 1, \"servers\": {\"servers\": [%s]}}",
+                "{\"version\": 1, \"version\": 2, \"full\": \"true\", \"servers\": [%s]}",
+                "{\"version\": 18446744073709551616, \"full\": 1, \"servers\": [%s]}",
+                "{\"version\": 1.5, \"servers\": [%s]}",
+                "{\"version\": \"1\", \"servers\": [%s]}",
+                "{\"version\": null, \"servers\": [%s]}",
+                "{\"full\": true, \"servers\": [%s]}",
+                "{\"version\": 1}",
+                "{\"deep\": {\"version\": 7, \"servers\": [[%s]]}, \"version\": 1, \"servers\": [%s]}",
+                "{\"version\": 1, \"servers\": [null, 7, \"x\", [%s], [[]], {}, %s]}",
+                " \r\n\t{\"version\"\n:\n1 ,\"servers\" : [ %s\n,\n%s ] }\n\n",
+                "{\"version\": 1, \"servers\": [%s]} and more",
+                "{\"version\": 1, \"servers\": [%s]}}",
+                "[]",
+                "[{\"version\": 1, \"servers\": [%s]}]",
+                "7",
+                "\"x\"",
+                "null",
+                "",
+                " "
+            })
     void aListIsReadAsItsTreeWas(String form) throws IOException {
         same(form.formatted(good(1), good(2)));
     }
@@ -132,7 +178,9 @@
         for (int run = 0; run < 300; run++) {
             StringBuilder entry = new StringBuilder("{\"id\": \"h\"");
             for (int i = random.nextInt(10); i > 0; i--) {
-                entry.append(", \"").append(FIELDS[random.nextInt(FIELDS.length)]).append("\": ")
+                entry.append(", \"")
+                        .append(FIELDS[random.nextInt(FIELDS.length)])
+                        .append("\": ")
                         .append(VALUES[random.nextInt(VALUES.length)]);
             }
             same("{\"version\": " + VALUES[6 + random.nextInt(5)] + ", \"full\": "
@@ -141,9 +189,20 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"{", "{\"version\"", "{\"version\": 1, \"servers\": [", "{\"version\": 1, \"servers\": [%s",
-        "{\"version\": 1, \"servers\": [%s]", "{\"version\": 1, \"servers\": [%s,]}", "nope",
-        "{\"version\": 1, \"servers\": [%s} }", "{'version': 1}", "]", "{\"version\": 01, \"servers\": []}"})
+    @ValueSource(
+            strings = {
+                "{",
+                "{\"version\"",
+                "{\"version\": 1, \"servers\": [",
+                "{\"version\": 1, \"servers\": [%s",
+                "{\"version\": 1, \"servers\": [%s]",
+                "{\"version\": 1, \"servers\": [%s,]}",
+                "nope",
+                "{\"version\": 1, \"servers\": [%s} }",
+                "{'version': 1}",
+                "]",
+                "{\"version\": 01, \"servers\": []}"
+            })
     void whatIsNoJsonIsAnError(String form) {
         String text = form.formatted(good(1));
         assertThrows(IOException.class, () -> byTree(text));
@@ -182,12 +241,15 @@
         assertEquals(90, read(many(90), 64, limit).entries().size());
         String text = many(200);
         HostList.TooLong refused = assertThrows(HostList.TooLong.class, () -> read(text, 64, limit));
-        assertTrue(refused.getMessage().matches("a list is refused, of which \\d+ bytes came: its first \\d\\d hosts "
-                + "fill the " + limit + " bytes that memory allows for it"), refused.getMessage());
+        assertTrue(
+                refused.getMessage()
+                        .matches("a list is refused, of which \\d+ bytes came: its first \\d\\d hosts " + "fill the "
+                                + limit + " bytes that memory allows for it"),
+                refused.getMessage());
         try (HostListReader reader = new HostListReader(limit)) {
             reader.announce(text.length());
-            HostList.TooLong announced = assertThrows(HostList.TooLong.class,
-                    () -> reader.feed(utf8(text), 0, text.length()));
+            HostList.TooLong announced =
+                    assertThrows(HostList.TooLong.class, () -> reader.feed(utf8(text), 0, text.length()));
             assertTrue(announced.getMessage().startsWith("a list of " + text.length() + " bytes is refused: "));
         }
     }
@@ -206,8 +268,10 @@
     void aTextThatIsAnnouncedOverTheLimitIsNotReadAtAll() {
         try (HostListReader reader = new HostListReader(1000)) {
             HostList.TooLong refused = assertThrows(HostList.TooLong.class, () -> reader.announce(1001));
-            assertEquals("a list of 1001 bytes is refused: its text alone is longer than the 1000 bytes that memory "
-                    + "allows for it", refused.getMessage());
+            assertEquals(
+                    "a list of 1001 bytes is refused: its text alone is longer than the 1000 bytes that memory "
+                            + "allows for it",
+                    refused.getMessage());
         }
     }
 
@@ -254,8 +318,10 @@
     /** Leniently, as ever: what no list is told by is no fault of the configuration. */
     @Test
     void knownHostsAreReadWithoutATreeAndTheRestAsEver() throws IOException {
-        assertEquals(byTree("{\"version\": 41, \"servers\": [" + good(1) + "]}"),
-                configured("{\"version\": \"41\", \"servers\": [" + good(1) + "]}").known());
+        assertEquals(
+                byTree("{\"version\": 41, \"servers\": [" + good(1) + "]}"),
+                configured("{\"version\": \"41\", \"servers\": [" + good(1) + "]}")
+                        .known());
         assertEquals(-1, configured("{\"servers\": [" + good(1) + "]}").known().version());
         for (String none : List.of("{}", "null", "7", "[]", "{\"version\": 3, \"servers\": {\"a\": [1]}}")) {
             assertNull(configured(none).known());
--- a/src/test/java/caperrudder/net/JsonTreeTest.java
+++ b/src/test/java/caperrudder/net/JsonTreeTest.java
@@ -20,8 +20,15 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"{}", "[]", "[[], {}, [1, -2.5e3, 18446744073709551616], \"\\u00e9\\n\"]", "null", "7",
-        "{\"a\": {\"b\": [true, false, null]}, \"a\": \"the last one stands\"}"})
+    @ValueSource(
+            strings = {
+                "{}",
+                "[]",
+                "[[], {}, [1, -2.5e3, 18446744073709551616], \"\\u00e9\\n\"]",
+                "null",
+                "7",
+                "{\"a\": {\"b\": [true, false, null]}, \"a\": \"the last one stands\"}"
+            })
     void readsWhatTheMapperReads(String text) throws IOException {
         assertEquals(new ObjectMapper().readTree(text).toString(), read(text).toString());
     }
--- a/src/test/java/caperrudder/net/LateConnectionTest.java
+++ b/src/test/java/caperrudder/net/LateConnectionTest.java
@@ -64,7 +64,7 @@
         }
 
         String first(int bytes) throws IOException {
-            return first(bytes, () -> { });
+            return first(bytes, () -> {});
         }
 
         @Override
--- a/src/test/java/caperrudder/net/LeavingClientTest.java
+++ b/src/test/java/caperrudder/net/LeavingClientTest.java
@@ -113,7 +113,9 @@
     /** Besides "u", which came before, the host is asked only what a client asks that stays. */
     private static void assertAskedOnlyThese(Server host, Client stays) throws Exception {
         assertEquals("for w ", stays.send(view("w", TIME)).receive().text());
-        assertEquals(List.of("u", "w"), host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
+        assertEquals(
+                List.of("u", "w"),
+                host.asked.stream().map(m -> m.header("X-Trace-Id")).toList());
     }
 
     private static String views(int bytes) {
@@ -218,11 +220,13 @@
         Client c = client(node).send(view("v", TIME));
         awaitCurrent(node, 1);
         awaitClock(node, rested);
-        node.loop.submit(() -> {
-            c.close();
-            node.send("v", "h0", 0);
-            return null;
-        }).sync();
+        node.loop
+                .submit(() -> {
+                    c.close();
+                    node.send("v", "h0", 0);
+                    return null;
+                })
+                .sync();
         awaitCurrent(node, 0);
         registry.news.add(list(9, false, entry("h0", host.address(), "ready")));
         awaitWatches(3);
--- a/src/test/java/caperrudder/net/NodeTest.java
+++ b/src/test/java/caperrudder/net/NodeTest.java
@@ -85,7 +85,9 @@
         Server host = host(NodeTest::echo);
         Node node = nodeWith(entry("dead", DEAD, "ready"), entry("live", host.address(), "ready"));
         for (int i = 0; i < 10; i++) {
-            assertEquals("for o" + i + " b", client(node).send(order("o" + i, "b")).receive().text());
+            assertEquals(
+                    "for o" + i + " b",
+                    client(node).send(order("o" + i, "b")).receive().text());
         }
         assertEquals(10, host.asked.size());
     }
@@ -101,8 +103,8 @@
 
     @Test
     void aRequestThatNeverRanIsRefusedWithATimeToComeBack() throws Exception {
-        Server host = host((m, s) -> s.getOutputStream()
-                .write(bytes("HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")));
+        Server host = host((m, s) ->
+                s.getOutputStream().write(bytes("HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")));
         Message answer = client(nodeBefore(host)).send(order("o", "b")).receive();
         assertEquals(429, answer.status());
         assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
@@ -145,13 +147,18 @@
             s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"));
             s.close();
         });
-        assertEquals("for v ", client(nodeBefore(host)).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(nodeBefore(host))
+                        .send(view("v", Sockets.PATIENCE_MS))
+                        .receive()
+                        .text());
         assertEquals(2, asked.get());
     }
 
     @Test
     void anAttemptEndsWithItsClient() throws Exception {
-        Server host = host((m, s) -> { });
+        Server host = host((m, s) -> {});
         Client c = client(nodeBefore(host));
         c.send(view("v", Sockets.PATIENCE_MS));
         assertNotNull(host.next());
@@ -173,7 +180,9 @@
         assertNotEquals(200, c.send(view("slow", 300)).receive().status());
         timeIsUp.countDown();
         for (int i = 0; i < 5; i++) {
-            assertEquals("for v" + i + " ", c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for v" + i + " ",
+                    c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
         }
     }
 
@@ -182,18 +191,38 @@
         Server host = host(NodeTest::echo);
         Node node = nodeBefore(host);
         String good = view("v", 1000);
-        for (String bad : List.of(good.replace("X-Plan: free\r\n", ""), good.replace("X-Plan: free", "X-Plan: none"),
-                good.replace("/view/", "/nothing/"), good.replace("units=1", "units=x"),
-                good.replace("b4d65521", "zzd65521"), good.replace("In-Ms: 1000", "In-Ms: soon"),
-                good.replace("spread=1,", ""), good.replace("GET", "POST").replace("\r\n\r\n",
-                        "\r\nContent-Length: 0\r\n\r\n"),
-                order("o", "b").replace("Idempotency-Key", "X-Other"), "nonsense\r\n\r\n")) {
+        for (String bad : List.of(
+                good.replace("X-Plan: free\r\n", ""),
+                good.replace("X-Plan: free", "X-Plan: none"),
+                good.replace("/view/", "/nothing/"),
+                good.replace("units=1", "units=x"),
+                good.replace("b4d65521", "zzd65521"),
+                good.replace("In-Ms: 1000", "In-Ms: soon"),
+                good.replace("spread=1,", ""),
+                good.replace("GET", "POST").replace("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n"),
+                order("o", "b").replace("Idempotency-Key", "X-Other"),
+                "nonsense\r\n\r\n")) {
             assertEquals(400, client(node).send(bad).receive().status(), bad);
         }
-        assertEquals(404, client(node).send("GET /favicon.ico HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
-        assertEquals(413, client(node).send("POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers("o", 1000)
-                + "Idempotency-Key: k\r\nContent-Length: 60000000\r\n\r\n").receive().status());
-        assertEquals(200, client(node).send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
+        assertEquals(
+                404,
+                client(node)
+                        .send("GET /favicon.ico HTTP/1.1\r\nHost: h\r\n\r\n")
+                        .receive()
+                        .status());
+        assertEquals(
+                413,
+                client(node)
+                        .send("POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers("o", 1000)
+                                + "Idempotency-Key: k\r\nContent-Length: 60000000\r\n\r\n")
+                        .receive()
+                        .status());
+        assertEquals(
+                200,
+                client(node)
+                        .send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+                        .receive()
+                        .status());
         assertEquals(List.of(), host.asked);
     }
 
@@ -218,12 +247,12 @@
         Client c = client(node);
         assertEquals(200, c.send(view("a", Sockets.PATIENCE_MS)).receive().status());
         awaitWatches(1);
-        registry.news.add(list(2, false, entry("h0", old.address(), "draining"),
-                entry("h1", DEAD, "ready")));
+        registry.news.add(list(2, false, entry("h0", old.address(), "draining"), entry("h1", DEAD, "ready")));
         registry.news.add(list(3, false, entry("h1", fresh.address(), "ready")));
         awaitWatches(3);
         for (int i = 0; i < 5; i++) {
-            assertEquals(200, c.send(view("b" + i, Sockets.PATIENCE_MS)).receive().status());
+            assertEquals(
+                    200, c.send(view("b" + i, Sockets.PATIENCE_MS)).receive().status());
         }
         assertEquals(1, old.asked.size());
         assertEquals(5, fresh.asked.size());
@@ -237,7 +266,8 @@
         awaitWatches(1);
         registry.news.add(list(9, true, entry("h1", fresh.address(), "ready")));
         awaitWatches(2);
-        assertEquals(200, client(node).send(view("a", Sockets.PATIENCE_MS)).receive().status());
+        assertEquals(
+                200, client(node).send(view("a", Sockets.PATIENCE_MS)).receive().status());
         assertEquals(0, old.asked.size());
     }
 
@@ -263,23 +293,29 @@
     @Test
     void aStartAsksOnlyForWhatChangedSinceTheListItKnows() throws Exception {
         Server host = host(NodeTest::echo);
-        Server agent = kept(new Server((m, s) -> s.getOutputStream().write(
-                ok(m.start().contains("from=41&") ? list(43, false, entry("h2", host.address(), "ready")) : "[]"))));
+        Server agent = kept(new Server((m, s) -> s.getOutputStream()
+                .write(ok(
+                        m.start().contains("from=41&")
+                                ? list(43, false, entry("h2", host.address(), "ready"))
+                                : "[]"))));
         String known = list(41, true, entry("h1", "127.0.0.1:1", "draining"));
         Node node = Sockets.node(Sockets.config(agent.address(), "127.0.0.1:0")
                 .replace("{\"version\": 0, \"full\": true, \"servers\": []}", known));
         ends.push(node::stop);
         assertTrue(agent.next().start().contains("from=41&"));
         assertTrue(agent.next().start().contains("from=43&"));
-        assertEquals(200, client(node).send(view("a", Sockets.PATIENCE_MS)).receive().status());
+        assertEquals(
+                200, client(node).send(view("a", Sockets.PATIENCE_MS)).receive().status());
     }
 
     /** An agent that numbers anew may not know a version of before; then the whole list is due. */
     @Test
     void aVersionThatDiscoveryDoesNotKnowIsNotAskedForAgain() throws Exception {
-        Server agent = kept(new Server((m, s) -> s.getOutputStream().write(m.start().contains("from=41&")
-                ? bytes("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
-                : ok(list(3, true, entry("h1", "127.0.0.1:1", "ready"))))));
+        Server agent = kept(new Server((m, s) -> s.getOutputStream()
+                .write(
+                        m.start().contains("from=41&")
+                                ? bytes("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+                                : ok(list(3, true, entry("h1", "127.0.0.1:1", "ready"))))));
         String known = list(41, true, entry("h1", "127.0.0.1:1", "ready"));
         ends.push(Sockets.node(Sockets.config(agent.address(), "127.0.0.1:0")
                 .replace("{\"version\": 0, \"full\": true, \"servers\": []}", known))::stop);
@@ -329,12 +365,18 @@
         Server fresh = host(NodeTest::echo);
         Node node = nodeBefore(known);
         awaitWatches(1);
-        registry.news.add(list(2, false, entry("h0", known.address(), "resting"), entry("h7", "nowhere", "ready"),
-                "{}", entry("h1", fresh.address(), "ready")));
+        registry.news.add(list(
+                2,
+                false,
+                entry("h0", known.address(), "resting"),
+                entry("h7", "nowhere", "ready"),
+                "{}",
+                entry("h1", fresh.address(), "ready")));
         awaitWatches(2);
         Client c = client(node);
         for (int i = 0; i < 5; i++) {
-            assertEquals(200, c.send(view("a" + i, Sockets.PATIENCE_MS)).receive().status());
+            assertEquals(
+                    200, c.send(view("a" + i, Sockets.PATIENCE_MS)).receive().status());
         }
         assertEquals(0, known.asked.size()); // what it wants is not known, so it gets nothing new
         assertEquals(5, fresh.asked.size());
@@ -360,7 +402,12 @@
         moved.countDown();
         assertNotNull(old.ended.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
         for (int i = 0; i < 5; i++) {
-            assertEquals("for v" + i + " ", client(node).send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for v" + i + " ",
+                    client(node)
+                            .send(view("v" + i, Sockets.PATIENCE_MS))
+                            .receive()
+                            .text());
         }
         assertEquals(5, fresh.asked.size());
     }
@@ -379,8 +426,8 @@
             String mine = "127.0.0.1:" + port;
             Server host = host(NodeTest::echo);
             registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
-            Node node = Sockets.node(Sockets.config(registry.server.address(), mine, mine,
-                    "127.0.0.1:" + peer.getLocalPort()));
+            Node node = Sockets.node(
+                    Sockets.config(registry.server.address(), mine, mine, "127.0.0.1:" + peer.getLocalPort()));
             ends.push(node::stop);
             InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
             for (DatagramSocket from : List.of(stranger, peer)) {
@@ -390,7 +437,8 @@
             }
             // Several customers, since the node itself keeps the books of some of them.
             for (int i = 0; i < 8; i++) {
-                String shared = view("s" + i, Sockets.PATIENCE_MS).replace("spread=1", "spread=2")
+                String shared = view("s" + i, Sockets.PATIENCE_MS)
+                        .replace("spread=1", "spread=2")
                         .replace("b4d65521", "b4d6552" + i);
                 assertEquals(200, client(node).send(shared).receive().status());
             }
@@ -440,8 +488,8 @@
             int port = freePort();
             String mine = "127.0.0.1:" + port;
             registry = kept(new Registry(list(1, true)));
-            Node node = Sockets.node(Sockets.config(registry.server.address(), mine, mine,
-                    "127.0.0.1:" + peer.getLocalPort()));
+            Node node = Sockets.node(
+                    Sockets.config(registry.server.address(), mine, mine, "127.0.0.1:" + peer.getLocalPort()));
             ends.push(node::stop);
             InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
             stranger.send(new DatagramPacket(new byte[8], 8, to));
@@ -486,11 +534,14 @@
     void aDrainServesOnWhereClientsKeepTheirConnections() throws Exception {
         Node node = nodeBefore(host(SocketTest::echo));
         Client kept = client(node);
-        assertEquals("for v ", kept.send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ", kept.send(view("v", Sockets.PATIENCE_MS)).receive().text());
         node.loop.submit(node::drain).sync();
         node.loop.submit(node::stopAccepting).sync().getNow().sync();
         for (String id : List.of("w", "x")) {
-            assertEquals("for " + id + " ", kept.send(view(id, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for " + id + " ",
+                    kept.send(view(id, Sockets.PATIENCE_MS)).receive().text());
         }
         node.loop.submit(node::stopServing).sync();
         assertNull(kept.receive());
@@ -533,7 +584,9 @@
         ends.push(second::stop);
         first.loop.submit(first::giveWay).sync();
         assertTrue(first.awaitDrained(Sockets.PATIENCE_MS));
-        assertEquals("for v ", client(second).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(second).send(view("v", Sockets.PATIENCE_MS)).receive().text());
     }
 
     private static RequestClass timed(double aimMs, double deadlineMs) {
@@ -552,7 +605,7 @@
     /** Nothing may be left open when the process is killed: what still runs then is failed or refused before. */
     @Test
     void aDrainEndsWhatAHostNeverAnswers() throws Exception {
-        Server host = host((m, s) -> { });
+        Server host = host((m, s) -> {});
         Node node = nodeBefore(host);
         Client c = client(node).send(order("o", "b"));
         assertNotNull(host.next());
@@ -564,14 +617,14 @@
     /** A module that does only what a test says of a request. */
     private record Scripted(BiConsumer<Double, Request> script, Consumer<AttemptResult> ends) implements Events {
         Scripted(BiConsumer<Double, Request> script) {
-            this(script, r -> { });
+            this(script, r -> {});
         }
 
         @Override
-        public void start(double now, Settings settings) { }
+        public void start(double now, Settings settings) {}
 
         @Override
-        public void hosts(double now, ListKind kind, List<Host> hosts) { }
+        public void hosts(double now, ListKind kind, List<Host> hosts) {}
 
         @Override
         public void request(double now, Request r) {
@@ -579,13 +632,13 @@
         }
 
         @Override
-        public void requestWhole(double now, String id, double deadlineMs) { }
+        public void requestWhole(double now, String id, double deadlineMs) {}
 
         @Override
-        public void requestSpent(double now, String id) { }
+        public void requestSpent(double now, String id) {}
 
         @Override
-        public void streamStarted(double now, String id, int attempt) { }
+        public void streamStarted(double now, String id, int attempt) {}
 
         @Override
         public void attemptEnded(double now, AttemptResult r) {
@@ -593,22 +646,22 @@
         }
 
         @Override
-        public void clientLeft(double now, String id) { }
+        public void clientLeft(double now, String id) {}
 
         @Override
-        public void timer(double now, String token) { }
+        public void timer(double now, String token) {}
 
         @Override
-        public void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) { }
+        public void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) {}
 
         @Override
-        public void peerSaid(double now, int peer, byte[] data) { }
+        public void peerSaid(double now, int peer, byte[] data) {}
 
         @Override
-        public void counted(double now, String counter, Outcome outcome, double total) { }
+        public void counted(double now, String counter, Outcome outcome, double total) {}
 
         @Override
-        public void inherited(double now, Books books) { }
+        public void inherited(double now, Books books) {}
 
         @Override
         public Books books(double now) {
@@ -637,12 +690,13 @@
         answers.put("error", "HTTP/1.1 500 Broken\r\nX-Quota-Used: 120\r\n");
         answers.put("none", "HTTP/1.1 200 OK\r\n");
         answers.put("noise", "HTTP/1.1 200 OK\r\nX-Quota-Used: -3\r\n");
-        Server host = host((m, s) -> s.getOutputStream()
-                .write(bytes(answers.get(m.header("X-Trace-Id")) + "Content-Length: 0\r\n\r\n")));
+        Server host = host((m, s) ->
+                s.getOutputStream().write(bytes(answers.get(m.header("X-Trace-Id")) + "Content-Length: 0\r\n\r\n")));
         registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
         BlockingQueue<AttemptResult> ended = new LinkedBlockingQueue<>();
-        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
-                .replace("\"servers\": []", "\"servers\": [" + entry("h0", host.address(), "ready") + "]"),
+        Node node = Sockets.node(
+                Sockets.config(registry.server.address(), "127.0.0.1:0")
+                        .replace("\"servers\": []", "\"servers\": [" + entry("h0", host.address(), "ready") + "]"),
                 act -> new Scripted((now, r) -> act.send(r.id(), "h0", 0), r -> {
                     ended.add(r);
                     if (!r.closed()) {
@@ -707,7 +761,12 @@
         assertNotNull(host.next());
         Client first = client(node);
         for (int i = 0; i < 30; i++) {
-            assertEquals("for v" + i + " ", client(node).send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for v" + i + " ",
+                    client(node)
+                            .send(view("v" + i, Sockets.PATIENCE_MS))
+                            .receive()
+                            .text());
         }
         assertNull(first.receive());
         crowded.countDown();
@@ -716,9 +775,13 @@
 
     @Test
     void aBadConfigurationIsOnePlainLine() {
-        for (String bad : List.of("[]", "{}", Sockets.config("nowhere", "127.0.0.1:0"),
+        for (String bad : List.of(
+                "[]",
+                "{}",
+                Sockets.config("nowhere", "127.0.0.1:0"),
                 Sockets.config("127.0.0.1:1", "127.0.0.1:0").replace("by_key", "by_luck"))) {
-            Exception e = assertThrows(RuntimeException.class,
+            Exception e = assertThrows(
+                    RuntimeException.class,
                     () -> NodeConfig.of(new com.fasterxml.jackson.databind.ObjectMapper().readTree(bad)));
             assertEquals(1, e.getMessage().lines().count());
         }
--- a/src/test/java/caperrudder/net/ProcessTest.java
+++ b/src/test/java/caperrudder/net/ProcessTest.java
@@ -34,6 +34,7 @@
 
     @TempDir
     private Path dir;
+
     private Process process;
     private int port;
 
@@ -55,15 +56,17 @@
     private Process launch(String config, String log, int descriptors, String... options) throws IOException {
         Path file = Files.writeString(dir.resolve("config.json"), config);
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        List<String> command = new ArrayList<>(List.of("sh", "-c",
-                "ulimit -n " + descriptors + "; exec \"$0\" \"$@\"", java, "-XX:+UseSerialGC"));
+        List<String> command = new ArrayList<>(
+                List.of("sh", "-c", "ulimit -n " + descriptors + "; exec \"$0\" \"$@\"", java, "-XX:+UseSerialGC"));
         command.addAll(List.of(options));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "caperrudder.Main", "serve"));
         ProcessBuilder b = new ProcessBuilder(command);
         b.environment().put("NODE_CONFIG", file.toString());
-        b.environment().put("TMPDIR", Files.createDirectories(dir.resolve("shared")).toString());
+        b.environment()
+                .put("TMPDIR", Files.createDirectories(dir.resolve("shared")).toString());
         return b.redirectOutput(ProcessBuilder.Redirect.DISCARD)
-                .redirectError(dir.resolve(log).toFile()).start();
+                .redirectError(dir.resolve(log).toFile())
+                .start();
     }
 
     private void startServing() throws Exception {
@@ -79,13 +82,17 @@
     }
 
     private String config(String discovery) {
-        return Sockets.config(discovery, "127.0.0.1:0").replace("127.0.0.1:0\", \"disc",
-                "127.0.0.1:" + port + "\", \"disc");
+        return Sockets.config(discovery, "127.0.0.1:0")
+                .replace("127.0.0.1:0\", \"disc", "127.0.0.1:" + port + "\", \"disc");
     }
 
     private void hangUp(String config) throws Exception {
         Files.writeString(dir.resolve("config.json"), config);
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                        .start()
+                        .waitFor());
     }
 
     private void awaitLog(String part) throws Exception {
@@ -180,17 +187,22 @@
                     if (!up.get()) {
                         s.close();
                     } else if (m.start().contains("from=41&")) {
-                        s.getOutputStream().write(Sockets.ok(Sockets.list(42, false,
-                                asHosts("old", old, "draining"), asHosts("fresh", fresh, "ready"))));
+                        s.getOutputStream()
+                                .write(Sockets.ok(Sockets.list(
+                                        42, false, asHosts("old", old, "draining"), asHosts("fresh", fresh, "ready"))));
                     } else {
                         heard.countDown();
                     }
                 })) {
-            process = launch(config(discovery.address())
-                    .replace("\"seed\"", "\"admin_addr\": \"127.0.0.1:" + second + "\", \"seed\"")
-                    .replace("\"sockets\": 1024", "\"sockets\": " + LIMIT)
-                    .replace("{\"version\": 0, \"full\": true, \"servers\": []}",
-                            Sockets.list(41, true, asHosts("old", old, "ready"))), "log", LIMIT);
+            process = launch(
+                    config(discovery.address())
+                            .replace("\"seed\"", "\"admin_addr\": \"127.0.0.1:" + second + "\", \"seed\"")
+                            .replace("\"sockets\": 1024", "\"sockets\": " + LIMIT)
+                            .replace(
+                                    "{\"version\": 0, \"full\": true, \"servers\": []}",
+                                    Sockets.list(41, true, asHosts("old", old, "ready"))),
+                    "log",
+                    LIMIT);
             awaitReady();
             for (int i = 0; i < LIMIT / 4; i++) {
                 Socket s = new Socket(InetAddress.getLoopbackAddress(), port);
@@ -207,8 +219,13 @@
             assertTrue(heard.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS), "the list was not read");
             first.countDown();
             assertEquals("for b0 ", Sockets.read(busy.get(0).getInputStream()).text());
-            assertEquals("for after ", Sockets.read(busy.get(0).getInputStream()).text());
-            assertEquals(1, fresh.asked.stream().filter(m -> "after".equals(m.header("X-Trace-Id"))).count());
+            assertEquals(
+                    "for after ", Sockets.read(busy.get(0).getInputStream()).text());
+            assertEquals(
+                    1,
+                    fresh.asked.stream()
+                            .filter(m -> "after".equals(m.header("X-Trace-Id")))
+                            .count());
             Socket quiet = new Socket(InetAddress.getLoopbackAddress(), port);
             quiet.setSoTimeout(3000);
             assertEquals(-1, endOf(quiet));
@@ -227,7 +244,8 @@
 
     /** One server under the names of several hosts, each of which is sent what one host bears. */
     private static String asHosts(String name, Sockets.Server server, String state) {
-        return IntStream.range(0, 8).mapToObj(i -> Sockets.entry(name + i, server.address(), state))
+        return IntStream.range(0, 8)
+                .mapToObj(i -> Sockets.entry(name + i, server.address(), state))
                 .collect(Collectors.joining(","));
     }
 
@@ -257,7 +275,7 @@
     /** Between its first call for the list, just before it listens, and its first client, it once died of the signal. */
     @Test
     void sigtermJustBeforeItListensEndsItInOrder() throws Exception {
-        try (Sockets.Server silent = new Sockets.Server((m, s) -> { })) {
+        try (Sockets.Server silent = new Sockets.Server((m, s) -> {})) {
             choosePort();
             start(config(silent.address()));
             assertTrue(silent.next() != null);
@@ -332,7 +350,9 @@
     }
 
     private long refusals() throws IOException {
-        return Files.readAllLines(dir.resolve("log")).stream().filter(l -> l.contains("is refused")).count();
+        return Files.readAllLines(dir.resolve("log")).stream()
+                .filter(l -> l.contains("is refused"))
+                .count();
     }
 
     private void assertServes(String id) throws IOException {
@@ -347,10 +367,14 @@
     @Test
     void aListBeyondItsMemoryIsRefusedInOneLineAndSeldomAskedFor() throws Exception {
         byte[] beyond = Sockets.ok(longList(2, 20_000));
-        try (Sockets.Server host = new Sockets.Server((m, s) -> s.getOutputStream().write(Sockets.ok("ok")));
-                Sockets.Server agent = new Sockets.Server((m, s) -> s.getOutputStream().write(
-                        m.start().contains("from=") ? beyond : Sockets.ok(Sockets.list(1, true,
-                                Sockets.entry("h0", host.address(), "ready")))))) {
+        try (Sockets.Server host =
+                        new Sockets.Server((m, s) -> s.getOutputStream().write(Sockets.ok("ok")));
+                Sockets.Server agent = new Sockets.Server((m, s) -> s.getOutputStream()
+                        .write(
+                                m.start().contains("from=")
+                                        ? beyond
+                                        : Sockets.ok(Sockets.list(
+                                                1, true, Sockets.entry("h0", host.address(), "ready")))))) {
             choosePort();
             process = launch(config(agent.address()), "log", "-Xmx24m");
             assertEquals("GET /v1/servers HTTP/1.1", agent.next().start());
@@ -372,9 +396,10 @@
     /** The main thread once ended with the heap full, and the process neither served nor ended. */
     @Test
     void knownHostsBeyondItsMemoryAreRefusedInOneLineAndTheAgentIsAskedForAll() throws Exception {
-        try (Sockets.Server host = new Sockets.Server((m, s) -> s.getOutputStream().write(Sockets.ok("ok")));
-                Sockets.Registry agent = new Sockets.Registry(Sockets.list(1, true,
-                        Sockets.entry("h0", host.address(), "ready")))) {
+        try (Sockets.Server host =
+                        new Sockets.Server((m, s) -> s.getOutputStream().write(Sockets.ok("ok")));
+                Sockets.Registry agent =
+                        new Sockets.Registry(Sockets.list(1, true, Sockets.entry("h0", host.address(), "ready")))) {
             choosePort();
             process = launch(config(agent.server.address(), longList(41, 40_000)), "log", "-Xmx24m");
             awaitReady();
@@ -389,14 +414,16 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aLongListAndNoAgentHoldAStartUpByAFewCallsAndTheWarmUp(boolean silent) throws Exception {
-        try (Sockets.Server agent = new Sockets.Server((m, s) -> { })) {
+        try (Sockets.Server agent = new Sockets.Server((m, s) -> {})) {
             choosePort();
             process = launch(config(silent ? agent.address() : "127.0.0.1:1", longList(41, 10_000)), "log", "-Xmx48m");
             awaitReady();
             int calls = agent.asked.size();
             assertTrue(calls <= 3, calls + " calls, of which the second comes after 1 s and more each 0.2 s");
-            String warm = Files.readAllLines(dir.resolve("log")).stream().filter(l -> l.startsWith("warm after "))
-                    .findFirst().orElseThrow();
+            String warm = Files.readAllLines(dir.resolve("log")).stream()
+                    .filter(l -> l.startsWith("warm after "))
+                    .findFirst()
+                    .orElseThrow();
             assertTrue(Integer.parseInt(warm.split(" ")[2]) <= WarmUp.ENOUGH, warm);
         }
     }
--- a/src/test/java/caperrudder/net/RepeatTest.java
+++ b/src/test/java/caperrudder/net/RepeatTest.java
@@ -21,21 +21,23 @@
 /** What may have run is repeated only as the effect in the settings permits, however its first attempt ends. */
 class RepeatTest extends SocketTest {
     private static final Map<String, Sockets.Answer> ENDS = Map.of(
-            "reset", (m, s) -> {
-                s.setSoLinger(true, 0);
-                s.close();
-            },
+            "reset",
+                    (m, s) -> {
+                        s.setSoLinger(true, 0);
+                        s.close();
+                    },
             "end", (m, s) -> s.close(),
-            "error", (m, s) -> s.getOutputStream()
-                    .write(bytes("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n")),
+            "error", (m, s) -> s.getOutputStream().write(bytes("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n")),
             "spoilt", (m, s) -> s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n")),
             "stall", (m, s) -> s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")),
-            "half", (m, s) -> {
-                s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"));
-                s.close();
-            },
-            "turned away, it says", (m, s) -> s.getOutputStream() // without the word that it never ran
-                    .write(bytes("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")));
+            "half",
+                    (m, s) -> {
+                        s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"));
+                        s.close();
+                    },
+            "turned away, it says",
+                    (m, s) -> s.getOutputStream() // without the word that it never ran
+                            .write(bytes("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")));
 
     private Node node(String effect, Server... hosts) throws IOException {
         String[] entries = new String[hosts.length];
@@ -59,9 +61,22 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"once,reset", "once,end", "once,error", "once,spoilt", "once,stall", "once,half",
-        "once,'turned away, it says'", "by_key,reset", "by_key,end", "by_key,error", "by_key,spoilt",
-        "by_key,stall", "by_key,half", "by_key,'turned away, it says'"})
+    @CsvSource({
+        "once,reset",
+        "once,end",
+        "once,error",
+        "once,spoilt",
+        "once,stall",
+        "once,half",
+        "once,'turned away, it says'",
+        "by_key,reset",
+        "by_key,end",
+        "by_key,error",
+        "by_key,spoilt",
+        "by_key,stall",
+        "by_key,half",
+        "by_key,'turned away, it says'"
+    })
     void whatMayHaveRunIsRepeatedAsItsEffectPermits(String effect, String end) throws Exception {
         AtomicInteger asked = new AtomicInteger();
         Server host = host((m, s) -> firstBy(end, asked, m, s));
@@ -75,12 +90,14 @@
     @ParameterizedTest
     @CsvSource({"once", "by_key"})
     void whatNeverRanIsSentElsewhere(String effect) throws Exception {
-        Server full = host((m, s) -> s.getOutputStream()
-                .write(bytes("HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")));
+        Server full = host((m, s) ->
+                s.getOutputStream().write(bytes("HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")));
         Server good = host(SocketTest::echo);
         Node node = node(effect, full, good);
         for (int i = 0; i < 10; i++) {
-            assertEquals("for o" + i + " b", client(node).send(order("o" + i, "b")).receive().text());
+            assertEquals(
+                    "for o" + i + " b",
+                    client(node).send(order("o" + i, "b")).receive().text());
         }
         assertEquals(10, good.asked.size());
     }
@@ -94,7 +111,8 @@
         });
         Client c = client(node("once", host));
         for (int i = 0; i < 50; i++) {
-            assertEquals("for o" + i + " b", c.send(order("o" + i, "b")).receive().text());
+            assertEquals(
+                    "for o" + i + " b", c.send(order("o" + i, "b")).receive().text());
         }
         assertEquals(50, host.asked.size());
     }
--- a/src/test/java/caperrudder/net/SocketTest.java
+++ b/src/test/java/caperrudder/net/SocketTest.java
@@ -37,10 +37,10 @@
         }
 
         @Override
-        public void flush() { }
+        public void flush() {}
 
         @Override
-        public void close() { }
+        public void close() {}
     };
 
     final Deque<Closeable> ends = new ArrayDeque<>();
@@ -133,7 +133,10 @@
 
     void awaitWatches(int count) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
-        while (registry.server.asked.stream().filter(m -> m.start().contains("from=")).count() < count) {
+        while (registry.server.asked.stream()
+                        .filter(m -> m.start().contains("from="))
+                        .count()
+                < count) {
             assertTrue(System.nanoTime() < end, "no watch came");
             Thread.sleep(5);
         }
--- a/src/test/java/caperrudder/net/Sockets.java
+++ b/src/test/java/caperrudder/net/Sockets.java
@@ -1,9 +1,9 @@
 package caperrudder.net;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import caperrudder.Brain;
 import caperrudder.Gateway.Actions;
 import caperrudder.Gateway.Events;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
@@ -26,7 +26,7 @@
 final class Sockets {
     static final int PATIENCE_MS = 30_000; // how long a test waits for what must come
 
-    private Sockets() { }
+    private Sockets() {}
 
     /** An HTTP message as it came over a socket; {@code whole} is false where the connection ended inside it. */
     record Message(String start, Map<String, String> headers, byte[] body) {
@@ -57,7 +57,8 @@
         Map<String, String> headers = new TreeMap<>();
         for (int i = 1; i < lines.length; i++) {
             int colon = lines[i].indexOf(':');
-            headers.put(lines[i].substring(0, colon).toLowerCase(java.util.Locale.ROOT),
+            headers.put(
+                    lines[i].substring(0, colon).toLowerCase(java.util.Locale.ROOT),
                     lines[i].substring(colon + 1).trim());
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
@@ -204,8 +205,8 @@
     }
 
     static String headers(String id, int expiresMs) {
-        return "X-Trace-Id: " + id + "\r\nX-Plan: free\r\nX-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: "
-                + expiresMs + "\r\nX-Quota: units=1,spread=1,first=0\r\n";
+        return "X-Trace-Id: " + id + "\r\nX-Plan: free\r\nX-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: " + expiresMs
+                + "\r\nX-Quota: units=1,spread=1,first=0\r\n";
     }
 
     /** A node's configuration with one class that is safe to repeat and one keyed. */
@@ -228,7 +229,8 @@
                     "goal_time_ms": 20000, "hard_limit_ms": 60000}],
                   "plans": [{"name": "free", "units_per_s": 100000, "depth": 100000},
                    {"name": "tiny", "units_per_s": 0.001, "depth": 1}]}}
-                """.formatted(discovery, peerListen, String.join(",", quoted), Math.max(1, peers.length));
+                """
+                .formatted(discovery, peerListen, String.join(",", quoted), Math.max(1, peers.length));
     }
 
     static Node node(String config) throws IOException {
--- a/src/test/java/caperrudder/net/StreamingTest.java
+++ b/src/test/java/caperrudder/net/StreamingTest.java
@@ -31,8 +31,8 @@
     private static final int LONG = 3 << 20;
     private static final int PIECE = 32 * 1024;
     private static final String OK = "HTTP/1.1 200 OK\r\n";
-    private static final String ORDER = "POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers("o", Sockets.PATIENCE_MS)
-            + "Idempotency-Key: k\r\n";
+    private static final String ORDER =
+            "POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers("o", Sockets.PATIENCE_MS) + "Idempotency-Key: k\r\n";
 
     private static byte[] content(int length) {
         byte[] all = new byte[length];
@@ -95,7 +95,8 @@
             assertEquals(text(content(LONG + 1)), asked.text());
             assertEquals(id, asked.header("X-Trace-Id"));
         }
-        assertEquals(text(answer), c.send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                text(answer), c.send(view("v", Sockets.PATIENCE_MS)).receive().text());
     }
 
     /** With extensions and trailers, with no length at all, and in pieces. */
@@ -130,7 +131,12 @@
             s.getOutputStream().write(bytes(OK + "\r\nall of it"));
             s.close();
         });
-        assertEquals("all of it", client(nodeBefore(host)).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "all of it",
+                client(nodeBefore(host))
+                        .send(view("v", Sockets.PATIENCE_MS))
+                        .receive()
+                        .text());
         assertEquals(1, host.asked.size());
     }
 
@@ -181,7 +187,9 @@
         }
         assertTrue(got < LONG);
         assertEquals(1, host.asked.size());
-        assertEquals(1, node.loop.submit(() -> node.tally().classes().get(0).errored()).get());
+        assertEquals(
+                1,
+                node.loop.submit(() -> node.tally().classes().get(0).errored()).get());
     }
 
     /** Where only the connection's end tells that an answer is whole, a broken one ends by a reset. */
@@ -213,7 +221,9 @@
             }
             s.getOutputStream().write(bytes(OK + "Content-Length: " + LONG + "\r\n\r\nshort"));
         });
-        assertEquals("for o b", client(nodeBefore(host)).send(order("o", "b")).receive().text());
+        assertEquals(
+                "for o b",
+                client(nodeBefore(host)).send(order("o", "b")).receive().text());
         assertEquals(2, asked.get());
     }
 
@@ -238,11 +248,13 @@
     @Test
     void aLongBodyIsSentOnAsItComes() throws Exception {
         CountDownLatch arriving = new CountDownLatch(1);
-        Server host = host((m, s) -> { });
+        Server host = host((m, s) -> {});
         byte[] body = content(LONG);
         Server raw = rawHost(arriving);
         Node node = nodeBefore(raw);
-        Client c = client(node).send(ORDER + "Content-Length: " + LONG + "\r\n\r\n" + text(body).substring(0, LONG / 2));
+        Client c = client(node)
+                .send(ORDER + "Content-Length: " + LONG + "\r\n\r\n"
+                        + text(body).substring(0, LONG / 2));
         assertTrue(arriving.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS), "nothing went on");
         assertEquals(0, node.figures().current());
         c.send(text(body).substring(LONG / 2));
@@ -271,7 +283,7 @@
         });
         t.setDaemon(true);
         t.start();
-        return new Server((m, s) -> { }) {
+        return new Server((m, s) -> {}) {
             @Override
             String address() {
                 return "127.0.0.1:" + listener.getLocalPort();
@@ -285,16 +297,22 @@
         Client c = client(nodeBefore(host));
         String tiny = order("t", text(content(LONG))).replace("X-Plan: free", "X-Plan: tiny");
         assertEquals(200, c.send(tiny).receive().status());
-        assertEquals(429, c.send(tiny.replace("X-Trace-Id: t", "X-Trace-Id: u")).receive().status());
-        assertEquals("for w ", c.send(view("w", Sockets.PATIENCE_MS).replace("b4d65521", "b4d65522")).receive().text());
+        assertEquals(
+                429,
+                c.send(tiny.replace("X-Trace-Id: t", "X-Trace-Id: u")).receive().status());
+        assertEquals(
+                "for w ",
+                c.send(view("w", Sockets.PATIENCE_MS).replace("b4d65521", "b4d65522"))
+                        .receive()
+                        .text());
         assertEquals(2, host.asked.size());
     }
 
     /** Sent in part and kept nowhere, it can't be sent again, whatever its class allows. */
     @Test
     void aLongBodyIsNeverSentTwice() throws Exception {
-        Server host = host((m, s) -> s.getOutputStream()
-                .write(bytes("HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")));
+        Server host = host((m, s) ->
+                s.getOutputStream().write(bytes("HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")));
         Client c = client(nodeBefore(host)).send(order("o", text(content(LONG))));
         assertEquals(429, c.receive().status());
         assertEquals(1, host.asked.size());
@@ -304,11 +322,13 @@
     @Test
     void aLongBodyGoesOnWhereTheFirstHostIsDown() throws Exception {
         Server host = host(SocketTest::echo);
-        Node node = nodeWith(Sockets.entry("dead", "127.0.0.1:1", "ready"),
-                Sockets.entry("live", host.address(), "ready"));
+        Node node =
+                nodeWith(Sockets.entry("dead", "127.0.0.1:1", "ready"), Sockets.entry("live", host.address(), "ready"));
         for (int i = 0; i < 10; i++) {
             String body = text(content(200_000));
-            assertEquals("for o" + i + " " + body, client(node).send(order("o" + i, body)).receive().text());
+            assertEquals(
+                    "for o" + i + " " + body,
+                    client(node).send(order("o" + i, body)).receive().text());
         }
         assertEquals(10, host.asked.size());
     }
@@ -316,8 +336,8 @@
     @Test
     void aClientThatStopsInsideALongBodyIsGivenUp() throws Exception {
         Server host = host(SocketTest::echo);
-        Client c = client(nodeBefore(host)).send(ORDER + "Content-Length: " + LONG + "\r\n\r\n"
-                + text(content(LONG / 4)));
+        Client c =
+                client(nodeBefore(host)).send(ORDER + "Content-Length: " + LONG + "\r\n\r\n" + text(content(LONG / 4)));
         assertEquals(408, c.receive().status());
         assertNull(c.receive());
         assertEquals(0, host.asked.size());
@@ -329,7 +349,9 @@
         Client c = client(nodeBefore(host(SocketTest::echo)));
         c.send(ORDER + "Content-Length: " + LONG + "\r\nExpect: 100-continue\r\n\r\n");
         assertEquals(100, c.receive().status());
-        assertEquals("for o " + text(content(LONG)), c.send(text(content(LONG))).receive().text());
+        assertEquals(
+                "for o " + text(content(LONG)),
+                c.send(text(content(LONG))).receive().text());
     }
 
     /** All that comes until the connection ends, but no more than the last part of it is kept. */
--- a/src/test/java/caperrudder/net/SuccessionTest.java
+++ b/src/test/java/caperrudder/net/SuccessionTest.java
@@ -30,6 +30,7 @@
 
     @TempDir
     private Path dir;
+
     private final Clock clock = new Clock();
     private final BlockingQueue<Books> taken = new LinkedBlockingQueue<>();
     private final List<Succession> begun = new ArrayList<>();
@@ -52,28 +53,34 @@
     }
 
     private Books books(double at) {
-        return new Books(at, 7, List.of(new CustomerBook(5, "p", 1, 2, 1, 2, 3, 4, 5, 6, 7, 8, 9)),
+        return new Books(
+                at,
+                7,
+                List.of(new CustomerBook(5, "p", 1, 2, 1, 2, 3, 4, 5, 6, 7, 8, 9)),
                 List.of(new HealthBook("h", "", 2, 3, 4), new HealthBook("h", "c", 2, 3, 4)),
                 List.of(new ClassBook("c", 1, 2, 3, 4, 5, 6)));
     }
 
     private Succession succession() {
-        Succession s = new Succession(new Succession.Party() {
-            @Override
-            public Books books() {
-                return SuccessionTest.this.books(clock.now());
-            }
-
-            @Override
-            public void inherit(Books books) {
-                taken.add(books);
-            }
-
-            @Override
-            public void beside(boolean process) {
-                beside = process;
-            }
-        }, dir.toString(), clock);
+        Succession s = new Succession(
+                new Succession.Party() {
+                    @Override
+                    public Books books() {
+                        return SuccessionTest.this.books(clock.now());
+                    }
+
+                    @Override
+                    public void inherit(Books books) {
+                        taken.add(books);
+                    }
+
+                    @Override
+                    public void beside(boolean process) {
+                        beside = process;
+                    }
+                },
+                dir.toString(),
+                clock);
         begun.add(s);
         return s;
     }
@@ -160,6 +167,7 @@
             assertTrue(System.nanoTime() < end, "claims nothing again");
             Thread.sleep(5);
         }
-        assertFalse(Files.exists(dir.resolve("caperrudder-books." + ProcessHandle.current().pid())));
+        assertFalse(Files.exists(
+                dir.resolve("caperrudder-books." + ProcessHandle.current().pid())));
     }
 }
--- a/src/test/java/caperrudder/net/WarmUpTest.java
+++ b/src/test/java/caperrudder/net/WarmUpTest.java
@@ -4,10 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import caperrudder.net.Sockets.Client;
 import caperrudder.net.Sockets.Message;
 import caperrudder.net.Sockets.Server;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -22,8 +22,10 @@
     }
 
     private static Set<String> loops() {
-        return Thread.getAllStackTraces().keySet().stream().map(Thread::getName)
-                .filter(n -> n.startsWith("nioEventLoopGroup")).collect(Collectors.toSet());
+        return Thread.getAllStackTraces().keySet().stream()
+                .map(Thread::getName)
+                .filter(n -> n.startsWith("nioEventLoopGroup"))
+                .collect(Collectors.toSet());
     }
 
     /** Every request is answered, whatever goes wrong among its hosts, and nothing of it runs on. */
@@ -44,8 +46,10 @@
         WarmUp.run(config(), FEW, Sockets.PATIENCE_MS, () -> false);
         Server host = host(SocketTest::echo);
         Client client = client(nodeBefore(host));
-        Message answer = client.send(view("r1", Sockets.PATIENCE_MS).replace("X-Plan: free", "X-Plan: tiny")
-                .replace("00000000b4d65521", "0000000000000001")).receive();
+        Message answer = client.send(view("r1", Sockets.PATIENCE_MS)
+                        .replace("X-Plan: free", "X-Plan: tiny")
+                        .replace("00000000b4d65521", "0000000000000001"))
+                .receive();
         assertEquals(200, answer.status());
         assertEquals(1, host.asked.size());
     }
--- a/src/test/java/caperrudder/scale/CostsTest.java
+++ b/src/test/java/caperrudder/scale/CostsTest.java
@@ -29,12 +29,15 @@
     private Path dir;
 
     private Process java(List<String> flags, String... command) throws IOException {
-        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        List<String> line = new ArrayList<>(
+                List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         line.addAll(flags);
         line.addAll(List.of("-cp", System.getProperty("java.class.path"), "caperrudder.Main"));
         line.addAll(List.of(command));
-        return new ProcessBuilder(line).redirectOutput(dir.resolve("out").toFile())
-                .redirectError(dir.resolve("err").toFile()).start();
+        return new ProcessBuilder(line)
+                .redirectOutput(dir.resolve("out").toFile())
+                .redirectError(dir.resolve("err").toFile())
+                .start();
     }
 
     private int end(Process p) throws InterruptedException {
@@ -50,7 +53,8 @@
     private Map<Integer, Map<String, Double>> measure(String... options) throws Exception {
         List<String> line = new ArrayList<>(List.of("scale", "--json"));
         line.addAll(List.of(options));
-        Process p = java(List.of("-Xmx512m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"), line.toArray(String[]::new));
+        Process p =
+                java(List.of("-Xmx512m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"), line.toArray(String[]::new));
         assertEquals(0, end(p), () -> read("err"));
         JsonNode told = new ObjectMapper().readTree(read("out"));
         Map<Integer, Map<String, Double>> values = new TreeMap<>();
@@ -76,7 +80,9 @@
 
     @Test
     void whatHostsCostByTheirNumber() throws Exception {
-        String[] options = {"--hosts", "1000,8000", "--fleet", "4200", "--requests", "400", "--changes", "10", "--idle", "2"};
+        String[] options = {
+            "--hosts", "1000,8000", "--fleet", "4200", "--requests", "400", "--changes", "10", "--idle", "2"
+        };
         Map<Integer, Map<String, Double>> told = measure(options);
         // A request's share of the fleet's hosts is bounded: 8 homes at the one size, 11 at the other.
         assertEquals(8, told.get(1000).get("requests.hosts.met"));
@@ -88,15 +94,33 @@
             atMost(130_000, told, hosts, "idle.second.allocated");
             atMost(170, told, hosts, "change.text");
         }
-        assertEquals(told.get(8000).get("change.allocated"),
-                measure(options).get(8000).get("change.allocated"), 0.01 * told.get(8000).get("change.allocated"));
+        assertEquals(
+                told.get(8000).get("change.allocated"),
+                measure(options).get(8000).get("change.allocated"),
+                0.01 * told.get(8000).get("change.allocated"));
     }
 
     /** A question and its answer for a request, and news now and then; none while nothing happens. */
     @Test
     void whatPeersCost() throws Exception {
-        Map<String, Double> told = measure("--hosts", "100", "--gateways", "100", "--tenants", "1000", "--requests", "50",
-                "--rate", "50", "--changes", "1", "--idle", "1", "--sharing", "peers").get(100);
+        Map<String, Double> told = measure(
+                        "--hosts",
+                        "100",
+                        "--gateways",
+                        "100",
+                        "--tenants",
+                        "1000",
+                        "--requests",
+                        "50",
+                        "--rate",
+                        "50",
+                        "--changes",
+                        "1",
+                        "--idle",
+                        "1",
+                        "--sharing",
+                        "peers")
+                .get(100);
         assertEquals(0, told.get("idle.messages"));
         double each = told.get("peers.messages") / told.get("requests");
         assertTrue(each > 0 && each <= 2.1, "messages a request: " + each);
@@ -110,14 +134,37 @@
         String run = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:+UseSerialGC"
                 + " '-Xlog:class+load:file=" + classes + "' -cp '" + System.getProperty("java.class.path")
                 + "' caperrudder.Main serve";
-        Process p = java(List.of(), "scale", "process", "--run", run, "--hosts", "3", "--idle", "1", "--load", "1",
-                "--rate", "20", "--changes", "2", "--json");
+        Process p = java(
+                List.of(),
+                "scale",
+                "process",
+                "--run",
+                run,
+                "--hosts",
+                "3",
+                "--idle",
+                "1",
+                "--load",
+                "1",
+                "--rate",
+                "20",
+                "--changes",
+                "2",
+                "--json");
         assertEquals(0, end(p), () -> read("err"));
         Map<String, Double> told = new TreeMap<>();
-        new ObjectMapper().readTree(read("out")).path("figures")
+        new ObjectMapper()
+                .readTree(read("out"))
+                .path("figures")
                 .forEach(f -> told.put(f.path("name").asText(), f.path("value").asDouble()));
-        assertEquals(List.of(1.0, 1.0, 20.0, 0.0), List.of(told.get("process.alive"), told.get("process.list.taken"),
-                told.get("process.requests.served"), told.get("process.requests.unserved")), told::toString);
+        assertEquals(
+                List.of(1.0, 1.0, 20.0, 0.0),
+                List.of(
+                        told.get("process.alive"),
+                        told.get("process.list.taken"),
+                        told.get("process.requests.served"),
+                        told.get("process.requests.unserved")),
+                told::toString);
         String loaded = read("classes");
         assertTrue(loaded.contains("caperrudder.net.HostConnection"), "the process served nothing");
         for (String stranger : List.of("caperrudder.scale", "picocli", "HdrHistogram")) {
--- a/src/test/java/caperrudder/scale/ScaleCommandTest.java
+++ b/src/test/java/caperrudder/scale/ScaleCommandTest.java
@@ -19,7 +19,8 @@
 
 /** The command as its users meet it. */
 class ScaleCommandTest {
-    private static final String SMALL = "--hosts 64 --gateways 3 --tenants 30 --spread 2 --requests 50 --changes 4 --idle 1";
+    private static final String SMALL =
+            "--hosts 64 --gateways 3 --tenants 30 --spread 2 --requests 50 --changes 4 --idle 1";
 
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
@@ -27,8 +28,10 @@
     private int run(String options) {
         out.reset();
         err.reset();
-        return ScaleCommand.run(new PrintStream(out, true, StandardCharsets.UTF_8),
-                new PrintStream(err, true, StandardCharsets.UTF_8), options.trim().split(" +"));
+        return ScaleCommand.run(
+                new PrintStream(out, true, StandardCharsets.UTF_8),
+                new PrintStream(err, true, StandardCharsets.UTF_8),
+                options.trim().split(" +"));
     }
 
     private JsonNode json(String options) throws IOException {
@@ -56,10 +59,31 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"--hosts 0", "--hosts x", "--hosts 10,-1", "--gateways 0", "--gateways 5 --fleet 4",
-        "--fleet 70000", "--tenants 0", "--gateways 4 --spread 5", "--requests -1", "--rate 0", "--changes -1",
-        "--hosts 10 --at-once 11", "--idle 0", "--rounds 0", "--sharing gossip", "--unknown", "extra",
-        "process --hosts 0", "process --rate 0", "process --memory-mb 1", "process --fleet 0", "--hosts 2000000000"})
+    @ValueSource(
+            strings = {
+                "--hosts 0",
+                "--hosts x",
+                "--hosts 10,-1",
+                "--gateways 0",
+                "--gateways 5 --fleet 4",
+                "--fleet 70000",
+                "--tenants 0",
+                "--gateways 4 --spread 5",
+                "--requests -1",
+                "--rate 0",
+                "--changes -1",
+                "--hosts 10 --at-once 11",
+                "--idle 0",
+                "--rounds 0",
+                "--sharing gossip",
+                "--unknown",
+                "extra",
+                "process --hosts 0",
+                "process --rate 0",
+                "process --memory-mb 1",
+                "process --fleet 0",
+                "--hosts 2000000000"
+            })
     void optionsThatMakeNoSenseEndItWithOneLineAndTwo(String options) {
         assertEquals(2, run(options));
         assertEquals(0, out.size());
@@ -74,8 +98,8 @@
         assertTrue(err.toString(StandardCharsets.UTF_8).contains("over half of the machine's"), err::toString);
         long machine = 1000L << 20;
         for (long[] bad : new long[][] {{600 << 20, 600 << 20}, {1, 600 << 20}, {300 << 20, 200 << 20}}) {
-            org.junit.jupiter.api.Assertions.assertThrows(IllegalArgumentException.class,
-                    () -> MemoryBound.check(bad[0], bad[1], machine));
+            org.junit.jupiter.api.Assertions.assertThrows(
+                    IllegalArgumentException.class, () -> MemoryBound.check(bad[0], bad[1], machine));
         }
         MemoryBound.check(300 << 20, 400 << 20, machine);
     }
@@ -84,7 +108,8 @@
     void helpTellsUnitsAndDefaults() {
         assertEquals(0, run("--help"));
         String help = out.toString(StandardCharsets.UTF_8);
-        for (String part : List.of("--gateways", "--tenants", "--changes", "--seed", "(default: 1000)", "seconds", "process")) {
+        for (String part :
+                List.of("--gateways", "--tenants", "--changes", "--seed", "(default: 1000)", "seconds", "process")) {
             assertTrue(help.contains(part), part);
         }
     }
@@ -109,7 +134,11 @@
         List<String> lines = out.toString(StandardCharsets.UTF_8).lines().toList();
         assertEquals(told.path("figures").size(), lines.size());
         for (int i = 0; i < lines.size(); i++) {
-            assertTrue(lines.get(i).contains(" " + told.path("figures").get(i).path("name").asText() + " "), lines.get(i));
+            assertTrue(
+                    lines.get(i)
+                            .contains(" "
+                                    + told.path("figures").get(i).path("name").asText() + " "),
+                    lines.get(i));
         }
     }
 
@@ -117,8 +146,9 @@
     void eachRequestIsMeasuredToItsEnd() throws IOException {
         JsonNode told = json(SMALL + " --sharing peers");
         assertEquals(3 * 50, figure(told, "requests"));
-        assertEquals(3 * 50, figure(told, "requests.served") + figure(told, "requests.refused")
-                + figure(told, "requests.failed"));
+        assertEquals(
+                3 * 50,
+                figure(told, "requests.served") + figure(told, "requests.refused") + figure(told, "requests.failed"));
         assertEquals(3 * 20, figure(told, "tenants.of.gateways")); // 30 tenants, each at 2 of 3 gateways
         assertEquals(50, figure(told, "idle.beats"));
     }
--- a/src/test/java/caperrudder/scale/StandInTest.java
+++ b/src/test/java/caperrudder/scale/StandInTest.java
@@ -40,7 +40,8 @@
         assertFalse(change.full());
         assertEquals(3, change.version());
         Host told = change.hosts().get(0);
-        assertEquals(List.of(e.id, HostState.DRAINING, 1234.0, 1.0, "m2"),
+        assertEquals(
+                List.of(e.id, HostState.DRAINING, 1234.0, 1.0, "m2"),
                 List.of(told.id(), told.state(), told.startedMs(), told.rating(), told.kind()));
     }
 
@@ -71,7 +72,11 @@
         assertEquals(1, tenants.usedPct(1, 10_900));
         assertEquals(51, tenants.usedPct(1, 11_100));
         assertEquals(1, tenants.usedPct(1, 12_100));
-        assertEquals(3, List.of(Tenants.id(0), Tenants.id(1), Tenants.id(2)).stream().distinct()
-                .filter(id -> id >= 0 && id < 1L << 33).count());
+        assertEquals(
+                3,
+                List.of(Tenants.id(0), Tenants.id(1), Tenants.id(2)).stream()
+                        .distinct()
+                        .filter(id -> id >= 0 && id < 1L << 33)
+                        .count());
     }
 }
--- a/src/test/java/caperrudder/wire/WireHostTest.java
+++ b/src/test/java/caperrudder/wire/WireHostTest.java
@@ -39,8 +39,9 @@
 
     @Test
     void sendsARequestAndFailsItAfterAnError() throws IOException {
-        String reply = run(START + batch(2, 1001, DEMAND) + batch(3, 1002,
-                "COMPLETED op_id=r-1 hop=0 host=10.0.0.1:90 reason=Failed cost_time_ms=1.0\n"));
+        String reply = run(START
+                + batch(2, 1001, DEMAND)
+                + batch(3, 1002, "COMPLETED op_id=r-1 hop=0 host=10.0.0.1:90 reason=Failed cost_time_ms=1.0\n"));
         assertTrue(reply.contains("AT gateway_id=3\nPLACE op_id=r-1 host=10.0.0.1:90\nYIELD turn=2\n"), reply);
         assertTrue(reply.contains("AT gateway_id=3\nABORT op_id=r-1\nYIELD turn=3\n"), reply);
     }
@@ -67,8 +68,10 @@
             {START + batch(2, 1001, "SURPRISE a=1\n"), "line 10: unknown message 'SURPRISE'"},
             {START + batch(2, 1001, "DUE cookie\n"), "line 10: not a name=value pair: 'cookie'"},
             {START + batch(2, 1001, DEMAND.replace(" holder=7", "")), "line 10: missing field 'holder'"},
-            {START + batch(2, 1001, DEMAND.replace("holder=7", "holder=seven")),
-                "line 10: bad whole number in 'holder': 'seven'"},
+            {
+                START + batch(2, 1001, DEMAND.replace("holder=7", "holder=seven")),
+                "line 10: bad whole number in 'holder': 'seven'"
+            },
             {START + batch(2, 1001, "MEMBERSHIP epoch=1 how=F page=9\n"), "line 10: no CATALOG with page 9"},
             {"BEGIN_BATCH moment_ms=1 turn=1\n", "line 2: input ended inside a batch"},
         };
