--- a/src/main/java/caperrudder/net/AdminServer.java
+++ b/src/main/java/caperrudder/net/AdminServer.java
@@ -149,8 +149,8 @@
                 write(ctx, response(HttpResponseStatus.BAD_REQUEST, "bad request\n"));
                 return;
             }
-            if (message instanceof HttpRequest) {
-                asked = (HttpRequest) message;
+            if (message instanceof HttpRequest httpRequest) {
+                asked = httpRequest;
             }
             if (message instanceof LastHttpContent) {
                 write(ctx, answer(asked));
--- a/src/main/java/caperrudder/net/ClientServer.java
+++ b/src/main/java/caperrudder/net/ClientServer.java
@@ -266,13 +266,13 @@
             ended = true;
             upload = null;
             leavePlace();
-            if (!channel.isActive() || !(channel instanceof SocketChannel)) {
+            if (!channel.isActive() || !(channel instanceof SocketChannel socketChannel)) {
                 channel.close();
                 return;
             }
             lingering.add(this);
             reader.valve().discard();
-            ((SocketChannel) channel).shutdownOutput();
+            socketChannel.shutdownOutput();
             node.loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         }
 
@@ -323,8 +323,8 @@
         }
 
         private static void drop(Object message) {
-            if (message instanceof RequestReader.Arriving) {
-                ((RequestReader.Arriving) message).body().discard();
+            if (message instanceof RequestReader.Arriving arriving) {
+                arriving.body().discard();
             } else {
                 ReferenceCountUtil.release(message);
             }
@@ -471,11 +471,11 @@
                 busy = true;
                 whole++;
                 leavePlace();
-                if (message instanceof RequestReader.Unreadable) {
+                if (message instanceof RequestReader.Unreadable unreadable) {
                     keepAlive = false; // where the next request would begin is not known
-                    answer(((RequestReader.Unreadable) message).status(), 0);
-                } else if (message instanceof RequestReader.Arriving) {
-                    RequestReader.Arriving a = (RequestReader.Arriving) message;
+                    answer(unreadable.status(), 0);
+                } else if (message instanceof RequestReader.Arriving a) {
+
                     upload = a.body().isWhole() ? null : a.body();
                     regulate();
                     handle(a.head(), a.body());
@@ -611,8 +611,8 @@
         /** Ends the connection inside an answer. Where its end alone would tell that the answer is whole, by a reset. */
         private void breakOff() {
             leave();
-            if (unframed && channel instanceof SocketChannel) {
-                ((SocketChannel) channel).config().setSoLinger(0);
+            if (unframed && channel instanceof SocketChannel socketChannel) {
+                socketChannel.config().setSoLinger(0);
             }
             channel.close();
         }
--- a/src/main/java/caperrudder/net/Discovery.java
+++ b/src/main/java/caperrudder/net/Discovery.java
@@ -269,11 +269,11 @@
                 throw new IOException("an answer that is no HTTP: "
                         + part.decoderResult().cause().getMessage());
             }
-            if (part instanceof HttpResponse) {
-                begun((HttpResponse) part);
+            if (part instanceof HttpResponse httpResponse) {
+                begun(httpResponse);
             }
-            if (part instanceof HttpContent && list != null) {
-                read(((HttpContent) part).content());
+            if (part instanceof HttpContent httpContent && list != null) {
+                read(httpContent.content());
                 if (part instanceof LastHttpContent) {
                     told(ctx);
                 }
--- a/src/main/java/caperrudder/net/HostConnection.java
+++ b/src/main/java/caperrudder/net/HostConnection.java
@@ -303,11 +303,11 @@
             } else if (((HttpObject) message).decoderResult().isFailure()) {
                 spoilt();
             } else {
-                if (message instanceof HttpResponse) {
-                    begin((HttpResponse) message);
+                if (message instanceof HttpResponse httpResponse) {
+                    begin(httpResponse);
                 }
-                if (message instanceof HttpContent && exchange != null) {
-                    goOn(ctx, (HttpContent) message);
+                if (message instanceof HttpContent httpContent && exchange != null) {
+                    goOn(ctx, httpContent);
                 }
             }
         } finally {
--- a/src/main/java/caperrudder/net/RequestBody.java
+++ b/src/main/java/caperrudder/net/RequestBody.java
@@ -5,7 +5,7 @@
 
 /**
  * A request's body: held whole, so that each attempt can send it, or on its way, when what a host has taken is gone.
- * Of the latter it holds no more than a window: who fills it asks whether it is {@link #full}. On the event loop only.
+ * Of the latter it holds no more than a window: who fills it asks whether it is {@code full}. On the event loop only.
  */
 final class RequestBody {
     /** Who sends the body on; told when there is more of it, or its end. */
--- a/src/main/java/caperrudder/net/RequestReader.java
+++ b/src/main/java/caperrudder/net/RequestReader.java
@@ -148,11 +148,11 @@
                                 : HttpResponseStatus.BAD_REQUEST);
                 return;
             }
-            if (message instanceof HttpRequest) {
-                begin(ctx, (HttpRequest) message);
+            if (message instanceof HttpRequest httpRequest) {
+                begin(ctx, httpRequest);
             }
-            if (message instanceof HttpContent && !over) {
-                goOn(ctx, (HttpContent) message);
+            if (message instanceof HttpContent httpContent && !over) {
+                goOn(ctx, httpContent);
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -252,8 +252,8 @@
             body.release();
             return part.retain();
         }
-        CompositeByteBuf all = body instanceof CompositeByteBuf
-                ? (CompositeByteBuf) body
+        CompositeByteBuf all = body instanceof CompositeByteBuf compositeByteBuf
+                ? compositeByteBuf
                 : ctx.alloc().compositeBuffer().addComponent(true, body);
         return all.addComponent(true, part.retain());
     }
--- a/src/main/java/caperrudder/net/Transport.java
+++ b/src/main/java/caperrudder/net/Transport.java
@@ -90,8 +90,8 @@
 
     /** Closes a listener; over TCP only once all that wait in its queue are taken. */
     static ChannelFuture stopAccepting(Channel listener) {
-        return listener instanceof DrainableListener
-                ? ((DrainableListener) listener).emptyAndClose()
+        return listener instanceof DrainableListener drainableListener
+                ? drainableListener.emptyAndClose()
                 : listener.close();
     }
 
--- a/src/main/java/caperrudder/net/WarmUp.java
+++ b/src/main/java/caperrudder/net/WarmUp.java
@@ -97,9 +97,8 @@
             long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs);
             while (!warmUp.left.await(POLL_MS, TimeUnit.MILLISECONDS)
                     && System.nanoTime() < end
-                    && !enough.getAsBoolean()) {
-                continue;
-            }
+                    && !enough.getAsBoolean()) {}
+
             return (int) (answers - warmUp.left.getCount());
         } finally {
             warmUp.close();
--- a/src/main/java/caperrudder/scale/ScaleCommand.java
+++ b/src/main/java/caperrudder/scale/ScaleCommand.java
@@ -2,6 +2,8 @@
 
 import caperrudder.scale.FleetSettings.Sharing;
 import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -137,8 +139,8 @@
     static int run(PrintStream out, PrintStream err, String... args) {
         return new CommandLine(new ScaleCommand())
                 .setCaseInsensitiveEnumValuesAllowed(true)
-                .setOut(new java.io.PrintWriter(out, true))
-                .setErr(new java.io.PrintWriter(err, true))
+                .setOut(new PrintWriter(out, true, StandardCharsets.UTF_8))
+                .setErr(new PrintWriter(err, true, StandardCharsets.UTF_8))
                 .setParameterExceptionHandler((e, unused) -> {
                     err.println(name(e.getCommandLine()) + ": "
                             + e.getMessage().lines().findFirst().orElse("") + " (see --help)");
--- a/src/test/java/caperrudder/HostTableTest.java
+++ b/src/test/java/caperrudder/HostTableTest.java
@@ -342,6 +342,6 @@
         long before = g.brain.table.touched();
         g.pass(1000);
         long touched = g.brain.table.touched() - before;
-        assertTrue(touched <= 4 * g.brain.homes.size(), touched + " for " + g.brain.homes.size() + " homes");
+        assertTrue(touched <= 4L * g.brain.homes.size(), touched + " for " + g.brain.homes.size() + " homes");
     }
 }
--- a/src/test/java/caperrudder/PartsTest.java
+++ b/src/test/java/caperrudder/PartsTest.java
@@ -76,10 +76,6 @@
         return letIn - before;
     }
 
-    private static int[] everyone(int count) {
-        return IntStream.range(0, count).toArray();
-    }
-
     @Test
     void oneGatewayWithAllDemandGetsTheWholeQuota() {
         gateways(3);
--- a/src/test/java/caperrudder/net/DiscoveryTest.java
+++ b/src/test/java/caperrudder/net/DiscoveryTest.java
@@ -111,7 +111,6 @@
         }
         agent.answer(silent, list(1, true, entry("h0", fresh.address(), "ready")));
         while (agent.next() != silent) { // its next call says that the list has been heard
-            continue;
         }
         assertEquals(
                 "for v ",
--- a/src/test/java/caperrudder/net/StreamingTest.java
+++ b/src/test/java/caperrudder/net/StreamingTest.java
@@ -18,6 +18,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -120,7 +121,8 @@
         });
         Client c = client(nodeBefore(host)).send(view("v", Sockets.PATIENCE_MS));
         String head = head(c.socket.getInputStream());
-        assertTrue(head.startsWith("HTTP/1.1 200") && head.toLowerCase().contains("transfer-encoding: chunked"));
+        assertTrue(head.startsWith("HTTP/1.1 200")
+                && head.toLowerCase(Locale.ROOT).contains("transfer-encoding: chunked"));
         assertEquals(text(answer), dechunked(c.socket.getInputStream()));
     }
 
