Count in an admission's worth that a refused client mostly comes again

AdmissionOdds took a refusal for the whole loss of a try's worth, though most clients try again and much of it is served then.

--- a/src/main/java/caperrudder/AdmissionOdds.java
+++ b/src/main/java/caperrudder/AdmissionOdds.java
@@ -12,6 +12,7 @@
     private static final double PRIOR_ANSWERS = 1; // inside, as if seen before the first answer
     private static final double FADE_MS = 60_000; // odds that no answer confirms fade: tries are let in again
     private static final double KNOWN_PERIODS = 1.5; // of the meter: so soon its figure of a customer ages
+    private static final double COMES_AGAIN = 0.15; // of its worth: what a refused client still gets by its next try
     private static final double MARGIN = 0.15; // of the worth about nought, in which a part is let in
     private static final double LEAST_SHARE = 0.05; // let in whatever the odds, so that they are learned anew
     private static final double EMPTY_SHARE = 0.75; // of the time over its rate in which a store is empty already
@@ -55,7 +56,8 @@
             double now, double units, double usefulShare, double takenFromOthers, double figureAgeMs, double use) {
         double known = Math.exp(-figureAgeMs / knownMs);
         double odds = known * beyondAt(use) + (1 - known) * unknownBeyond(now, units);
-        double worth = (1 - odds) * usefulShare - odds * (plan.overCost() - plan.overWorth()) - takenFromOthers;
+        double worth =
+                (1 - odds) * usefulShare - odds * (plan.overCost() - plan.overWorth()) - takenFromOthers - COMES_AGAIN;
         saved += Math.max(LEAST_SHARE, Math.min(1, (worth + MARGIN) / (2 * MARGIN)));
         if (saved < 1) return false;
         saved -= 1;
--- a/src/main/java/caperrudder/Brain.java
+++ b/src/main/java/caperrudder/Brain.java
@@ -737,8 +737,6 @@
         }
     }
 
-    // ---- release
-
     /** Places for attempts out: the even ones of what hosts get fleet-wide, and some for chance bursts. */
     private double bound() {
         double even = perHost * Math.max(1, capacity) / peers.length;
