--- a/src/main/java/caperrudder/server/GatewayServer.java
+++ b/src/main/java/caperrudder/server/GatewayServer.java
@@ -23,6 +23,7 @@
 import caperrudder.server.runtime.EventLoopContext;
 import caperrudder.server.runtime.EventLoopLag;
 import caperrudder.server.runtime.Log;
+import caperrudder.server.runtime.ProtectionCounters;
 import caperrudder.server.runtime.StreamBufferBudget;
 import caperrudder.server.runtime.Transport;
 import caperrudder.server.upstream.HealthChecker;
@@ -96,7 +97,12 @@
         this.exclusiveDescriptors = DescriptorBudget.exclusive(limits.sockets());
         this.sharedDescriptors = DescriptorBudget.shared(limits.sockets());
         this.counters = new RequestCounters(settings.classes());
-        this.metrics = new MetricsSnapshot(counters.classes(), 0, 0, new ClusterHealth(0, 0));
+        this.metrics = new MetricsSnapshot(
+                counters.classes(),
+                0,
+                0,
+                new ClusterHealth(0, 0),
+                eventLoop.protections().counts());
         this.policy = new PolicyEventQueue(eventLoop.clock());
         LoadReportParser loadReports = new LoadReportParser(settings.loadReportFields());
         this.upstream =
@@ -130,7 +136,8 @@
                 group,
                 loop,
                 new EventLoopLag(clock, loop),
-                new StreamBufferBudget(limits.memoryMb()));
+                new StreamBufferBudget(limits.memoryMb()),
+                new ProtectionCounters());
     }
 
     private static DiscoveryTimings discoveryTimings(Settings settings) {
@@ -228,7 +235,11 @@
     private void renewMetrics() {
         eventLoop.loop().schedule(this::renewMetrics, METRICS_PERIOD_MS, TimeUnit.MILLISECONDS);
         metrics = new MetricsSnapshot(
-                counters.classes(), counters.sends(), dispatcher.waitingRequests(), policy.clusterHealth());
+                counters.classes(),
+                counters.sends(),
+                dispatcher.waitingRequests(),
+                policy.clusterHealth(),
+                eventLoop.protections().counts());
     }
 
     RequestDispatcher dispatcher() {
--- a/src/main/java/caperrudder/server/admin/MetricsSnapshot.java
+++ b/src/main/java/caperrudder/server/admin/MetricsSnapshot.java
@@ -1,7 +1,10 @@
 package caperrudder.server.admin;
 
 import caperrudder.api.ClusterHealth;
+import caperrudder.server.runtime.ProtectionCounters.Reason;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 
 /**
  * What this process has done since its start and what it has in hand, at one moment. Immutable: the only thing that
@@ -11,10 +14,15 @@
  * @param attemptsSent attempts that were written whole to hosts
  * @param openRequests requests that came whole and have not ended
  * @param cluster the hosts that are listed
+ * @param protections what was refused or closed, by reason
  */
 public record MetricsSnapshot(
-        List<EndedRequests> classes, long attemptsSent, long openRequests, ClusterHealth cluster) {
-    private static final int TEXT_CHARS = 1024; // to begin with
+        List<EndedRequests> classes,
+        long attemptsSent,
+        long openRequests,
+        ClusterHealth cluster,
+        Map<Reason, Long> protections) {
+    private static final int TEXT_CHARS = 2048; // to begin with
 
     /**
      * How the requests of one class ended.
@@ -42,6 +50,8 @@
         appendValue(text, "app_cluster_size", cluster.hostCount());
         appendHeader(text, "app_cluster_unhealthy", "gauge", "Listed hosts that are avoided now.");
         appendValue(text, "app_cluster_unhealthy", cluster.unhealthyHostCount());
+        appendHeader(text, "app_protections_total", "counter", "Requests refused and connections closed, by reason.");
+        protections.forEach((reason, count) -> appendProtections(text, reason, count));
         return text.toString();
     }
 
@@ -55,6 +65,11 @@
         appendValue(text, "app_transactions_total{group=\"" + quoted + "\",state=\"" + state + "\"}", count);
     }
 
+    private static void appendProtections(StringBuilder text, Reason reason, long count) {
+        String action = reason.action().name().toLowerCase(Locale.ROOT);
+        appendValue(text, "app_protections_total{action=\"" + action + "\",reason=\"" + reason.label() + "\"}", count);
+    }
+
     private static void appendValue(StringBuilder text, String name, long value) {
         text.append(name).append(' ').append(value).append('\n');
     }
--- a/src/main/java/caperrudder/server/downstream/ClientConnection.java
+++ b/src/main/java/caperrudder/server/downstream/ClientConnection.java
@@ -4,6 +4,7 @@
 import caperrudder.server.downstream.InboundMessage.UnreadableRequest;
 import caperrudder.server.http.RequestBody;
 import caperrudder.server.runtime.FatalErrorHandler;
+import caperrudder.server.runtime.ProtectionCounters.Reason;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -62,6 +63,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         if (!context.eviction().add(this)) {
+            context.count(Reason.NO_DESCRIPTOR);
             ended = true;
             channel.close();
         }
@@ -127,6 +129,12 @@
         channel.close();
     }
 
+    /** Closes it at once, as a new connection needs its descriptor. */
+    void giveWay() {
+        context.count(Reason.EVICTED);
+        closeNow();
+    }
+
     void closeUnfinished() {
         if (busy || ended || isOwed()) {
             return; // it ends with its response
@@ -184,15 +192,19 @@
         }
         keepAlive = false;
         if (replies.isStreaming()) {
+            context.count(Reason.STALLED_RESPONSE);
             breakOff();
         } else if (inbound.isUploading() && !busy) { // it was answered, and only its rest did not come
             closeGently();
         } else if (inbound.isUploading()) {
+            context.count(Reason.SLOW_REQUEST);
             abandonUpload();
             reply(HttpResponseStatus.REQUEST_TIMEOUT, 0);
         } else if (inbound.isInsideRequest()) {
+            context.count(Reason.SLOW_REQUEST);
             reply(HttpResponseStatus.REQUEST_TIMEOUT, 0);
         } else {
+            context.count(Reason.SILENT);
             closeNow();
         }
     }
@@ -287,6 +299,7 @@
             context.eviction().exempt(this);
             if (message instanceof UnreadableRequest unreadable) {
                 keepAlive = false; // where the next request would begin is not known
+                unreadable.reason().ifPresent(context::count);
                 reply(unreadable.status(), 0);
             } else if (message instanceof InboundRequest request) {
                 handle(request.head(), request.body());
@@ -394,6 +407,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         FatalErrorHandler.check(cause);
+        context.count(Reason.CONNECTION_ERROR);
         channel.close();
     }
 }
--- a/src/main/java/caperrudder/server/downstream/ConnectionEviction.java
+++ b/src/main/java/caperrudder/server/downstream/ConnectionEviction.java
@@ -145,7 +145,7 @@
         int before = connection.messages();
         boolean evictable = connection.isEvictable(forced);
         if (evictable && forced) {
-            connection.closeNow(); // its end is reported only later
+            connection.giveWay(); // its end is reported only later
         } else if (evictable) {
             connection.closeGently();
         } else {
--- a/src/main/java/caperrudder/server/downstream/InboundMessage.java
+++ b/src/main/java/caperrudder/server/downstream/InboundMessage.java
@@ -1,8 +1,10 @@
 package caperrudder.server.downstream;
 
 import caperrudder.server.http.RequestBody;
+import caperrudder.server.runtime.ProtectionCounters.Reason;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
 
 /** What a client's connection brought, in its order; each is due one response. */
 sealed interface InboundMessage {
@@ -17,8 +19,12 @@
         }
     }
 
-    /** In the place of a request that can't be read: the connection ends with this response. */
-    record UnreadableRequest(HttpResponseStatus status) implements InboundMessage {
+    /**
+     * In the place of a request that can't be read: the connection ends with this response.
+     *
+     * @param reason the limit that it exceeds; empty where it is malformed
+     */
+    record UnreadableRequest(HttpResponseStatus status, Optional<Reason> reason) implements InboundMessage {
         @Override
         public void release() {}
     }
--- a/src/main/java/caperrudder/server/downstream/RequestReader.java
+++ b/src/main/java/caperrudder/server/downstream/RequestReader.java
@@ -7,6 +7,7 @@
 import caperrudder.server.http.RequestHeaders;
 import caperrudder.server.http.StrictHeaders;
 import caperrudder.server.runtime.Clock;
+import caperrudder.server.runtime.ProtectionCounters.Reason;
 import caperrudder.server.runtime.StreamBufferBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -27,6 +28,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
 
 /**
  * Puts the requests of one connection together, or passes on that what comes can't be read: then nothing more is, as
@@ -143,7 +145,7 @@
                 return;
             }
             if (fault != null) {
-                reject(ctx, statusOf(fault));
+                rejectUnreadable(ctx, fault);
                 return;
             }
             if (message instanceof HttpRequest request) {
@@ -157,10 +159,12 @@
         }
     }
 
-    private static HttpResponseStatus statusOf(Throwable fault) {
-        return fault instanceof TooLongFrameException
-                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                : HttpResponseStatus.BAD_REQUEST;
+    private void rejectUnreadable(ChannelHandlerContext ctx, Throwable fault) {
+        if (fault instanceof TooLongFrameException) {
+            reject(ctx, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, Reason.HEAD_SIZE);
+        } else {
+            reject(ctx, HttpResponseStatus.BAD_REQUEST);
+        }
     }
 
     private void begin(ChannelHandlerContext ctx, HttpRequest request) {
@@ -169,7 +173,7 @@
         if (!isSupported(request)) {
             reject(ctx, HttpResponseStatus.BAD_REQUEST);
         } else if (HttpUtil.getContentLength(request, 0L) > MessageBodies.MAX_BYTES) {
-            reject(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE); // before any of it is read
+            reject(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, Reason.BODY_SIZE); // before any of it is read
         } else if (HttpUtil.is100ContinueExpected(request)) {
             ctx.fireUserEventTriggered(Event.CONTINUE_EXPECTED);
         } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
@@ -217,7 +221,7 @@
     private void stream(ChannelHandlerContext ctx, HttpContent content) {
         streamedBytes += content.content().readableBytes();
         if (streamedBytes > MessageBodies.MAX_BYTES) { // of a body that did not tell its length
-            reject(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            reject(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, Reason.BODY_SIZE);
             return;
         }
         ByteBuf part = content.content().retain();
@@ -257,14 +261,22 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event == InboundFlowControl.Event.INPUT_CUT_OFF && !ended) {
-            reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, Reason.PIPELINED);
         }
         ctx.fireUserEventTriggered(event);
     }
 
     private void reject(ChannelHandlerContext ctx, HttpResponseStatus status) {
+        reject(ctx, new UnreadableRequest(status, Optional.empty()));
+    }
+
+    private void reject(ChannelHandlerContext ctx, HttpResponseStatus status, Reason exceededLimit) {
+        reject(ctx, new UnreadableRequest(status, Optional.of(exceededLimit)));
+    }
+
+    private void reject(ChannelHandlerContext ctx, UnreadableRequest unreadable) {
         end();
-        ctx.fireChannelRead(new UnreadableRequest(status));
+        ctx.fireChannelRead(unreadable);
     }
 
     private void end() {
--- a/src/main/java/caperrudder/server/downstream/RequestRouter.java
+++ b/src/main/java/caperrudder/server/downstream/RequestRouter.java
@@ -4,6 +4,7 @@
 import caperrudder.server.http.RequestBody;
 import caperrudder.server.http.RequestHeaders;
 import caperrudder.server.runtime.EventLoopContext;
+import caperrudder.server.runtime.ProtectionCounters.Reason;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
@@ -50,6 +51,7 @@
             rejectBad(head, body, client);
         } else if (handler.isFull()) {
             body.discard();
+            eventLoop.protections().count(Reason.OPEN_REQUESTS);
             handler.rejectedAtCapacity(request.requestClass());
             client.reply(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs);
         } else {
--- a/src/main/java/caperrudder/server/runtime/EventLoopContext.java
+++ b/src/main/java/caperrudder/server/runtime/EventLoopContext.java
@@ -15,7 +15,8 @@
         NioEventLoopGroup group,
         EventLoop loop,
         EventLoopLag lag,
-        StreamBufferBudget budget) {
+        StreamBufferBudget budget,
+        ProtectionCounters protections) {
     private static final double MICROS_PER_MS = 1000;
 
     /** Runs the task on the event loop after so many milliseconds, or at its next turn where there are none left. */
--- a/src/test/java/caperrudder/server/admin/AdminServerTest.java
+++ b/src/test/java/caperrudder/server/admin/AdminServerTest.java
@@ -88,6 +88,22 @@
         assertEquals(503, call(admin, "GET /api/ready").status());
     }
 
+    /** The staff could not see that requests were refused for their size, nor how many. */
+    @Test
+    void refusalsAreCountedByReason() throws Exception {
+        GatewayServer node = gatewayFor();
+        AdminServer admin = admin(node);
+        client(node)
+                .send("GET / HTTP/1.1\r\nA: " + "x".repeat(9000) + "\r\n\r\n")
+                .receive();
+        client(node)
+                .send("POST /order/x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n")
+                .receive();
+        awaitMetric(admin, "app_protections_total{action=\"refused\",reason=\"head_size\"} 1");
+        awaitMetric(admin, "app_protections_total{action=\"refused\",reason=\"body_size\"} 1");
+        awaitMetric(admin, "app_protections_total{action=\"closed\",reason=\"evicted\"} 0");
+    }
+
     @Test
     void eachRequestIsCountedOnceByItsResult() throws Exception {
         CountDownLatch told = new CountDownLatch(1);
