Answer a long request in its client's time whatever its host takes of it

Cause: its deadline timer was set once the gateway had read the last byte, and a client is not read while the host takes nothing (RequestDispatcher.received, InboundFlowControl.pause). Evidence: bodies that fitted into the window and the sockets on the way to the host were answered at their deadline, all larger ones never. Change: the timer is set with the head, and its time runs from the last moment at which the client had certainly not written the last byte. Why it works: neither the host nor the client can keep that timer from being set or from firing.

--- a/src/main/java/caperrudder/server/GatewayServer.java
+++ b/src/main/java/caperrudder/server/GatewayServer.java
@@ -250,6 +250,10 @@
         return counters;
     }
 
+    ProtectionCounters protections() {
+        return eventLoop.protections();
+    }
+
     // ---- what the process asks and changes, by any thread
 
     public Clock clock() {
--- a/src/main/java/caperrudder/server/OpenRequest.java
+++ b/src/main/java/caperrudder/server/OpenRequest.java
@@ -98,6 +98,14 @@
         return deadlineAtMs;
     }
 
+    /**
+     * By when a request must be answered whose end has not been read: its client may have written that right after it
+     * was last known not to have.
+     */
+    double uploadDeadlineAtMs() {
+        return Math.max(body.unfinishedAtMs(), request.arrivedAtMs()) + request.deadlineAtMs() - request.arrivedAtMs();
+    }
+
     /** The client's time begins now that all has come. */
     void startTime(double nowMs) {
         deadlineAtMs = nowMs + request.deadlineAtMs() - request.arrivedAtMs();
@@ -108,15 +116,21 @@
         return Math.max(1, isComplete() ? deadlineAtMs - nowMs : request.deadlineAtMs() - request.arrivedAtMs());
     }
 
+    /** Replaces the timer that was set before. */
     void setDeadlineTimer(Future<?> timer) {
+        cancelDeadlineTimer();
         deadlineTimer = timer;
     }
 
-    /** Lets go of what it holds, as it leaves the table. */
-    void release() {
+    private void cancelDeadlineTimer() {
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
+    }
+
+    /** Lets go of what it holds, as it leaves the table. */
+    void release() {
+        cancelDeadlineTimer();
         body.discard();
     }
 
--- a/src/main/java/caperrudder/server/RequestDispatcher.java
+++ b/src/main/java/caperrudder/server/RequestDispatcher.java
@@ -9,6 +9,7 @@
 import caperrudder.server.http.RequestBody;
 import caperrudder.server.runtime.EventLoopContext;
 import caperrudder.server.runtime.Log;
+import caperrudder.server.runtime.ProtectionCounters.Reason;
 import caperrudder.server.upstream.LoadReportParser;
 import caperrudder.server.upstream.UpstreamClient;
 import io.netty.buffer.ByteBuf;
@@ -102,6 +103,8 @@
         client.open(entry);
         if (entry.isComplete()) {
             startDeadline(entry);
+        } else {
+            startUploadDeadline(entry);
         }
         policy.post((now, p) -> p.requestReceived(now, request));
     }
@@ -137,6 +140,34 @@
         request.setDeadlineTimer(eventLoop.schedule(() -> deadlinePassed(request), request.deadlineAtMs() - now()));
     }
 
+    /**
+     * A request whose end has not been read is guarded, too: while its host takes nothing its client is not read, and
+     * its end may have stood in the socket for as long.
+     */
+    private void startUploadDeadline(OpenRequest request) {
+        request.setDeadlineTimer(
+                eventLoop.schedule(() -> uploadDeadlineDue(request), request.uploadDeadlineAtMs() - now()));
+    }
+
+    private void uploadDeadlineDue(OpenRequest request) {
+        if (isUploadUnfinished(request)) {
+            request.client().readUpload();
+        }
+        if (!isUploadUnfinished(request)) {
+            return;
+        }
+        if (now() < request.uploadDeadlineAtMs()) {
+            startUploadDeadline(request);
+        } else {
+            eventLoop.protections().count(Reason.UPLOAD_STALLED);
+            deadlinePassed(request);
+        }
+    }
+
+    private static boolean isUploadUnfinished(OpenRequest request) {
+        return !request.isClosed() && !request.body().isReceived();
+    }
+
     /** Rule 1: attempts end with the client's time, and what the policy then leaves unanswered fails here. */
     private void deadlinePassed(OpenRequest request) {
         UpstreamAttempt streaming = request.streaming();
@@ -156,7 +187,8 @@
     private void endAttempts(OpenRequest request) {
         for (UpstreamAttempt attempt : request.attemptsUpToNow()) {
             if (!attempt.hasEnded()) {
-                abandon(attempt, Outcome.TIMEOUT);
+                // Without its last byte no host runs the request, so that a retry is harmless.
+                abandon(attempt, attempt.isSent() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
             }
         }
     }
--- a/src/main/java/caperrudder/server/UpstreamAttempt.java
+++ b/src/main/java/caperrudder/server/UpstreamAttempt.java
@@ -21,6 +21,7 @@
     private double firstByteAtMs; // of a streamed response
     private HttpResponse streamedHead; // null where the response is not streamed
     private long streamedBytes;
+    private boolean sent; // its last byte
     private boolean ended;
     private Future<?> timeout;
 
@@ -45,6 +46,11 @@
         return host;
     }
 
+    /** Whether its last byte has left for the host. */
+    boolean isSent() {
+        return sent;
+    }
+
     boolean hasEnded() {
         return ended;
     }
@@ -68,6 +74,7 @@
 
     @Override
     protected void requestSent() {
+        sent = true;
         dispatcher.attemptSent();
         if (!request.body().isBuffered()) {
             sentAtMs = dispatcher.now();
--- a/src/main/java/caperrudder/server/downstream/ClientConnection.java
+++ b/src/main/java/caperrudder/server/downstream/ClientConnection.java
@@ -335,6 +335,11 @@
         return channel.isOpen();
     }
 
+    /** Reads more of the body on its way, if that can take it: its end may stand in the socket. */
+    public void readUpload() {
+        inbound.readUpload();
+    }
+
     /** Whether the client takes what it is given as fast as that comes. */
     public boolean isWritable() {
         return channel.isWritable();
--- a/src/main/java/caperrudder/server/downstream/InboundFlowControl.java
+++ b/src/main/java/caperrudder/server/downstream/InboundFlowControl.java
@@ -31,6 +31,7 @@
     private int keptBytes;
     private int borrowedBytes; // of the budget, beyond what each may keep
     private long receivedBytes;
+    private boolean socketEmpty; // right after the last read
     private long discardedBytes;
     private boolean paused;
     private boolean readsAhead; // while paused
@@ -57,6 +58,16 @@
         return !kept.isEmpty();
     }
 
+    /** How many bytes have come on this connection, whatever became of them. */
+    long receivedBytes() {
+        return receivedBytes;
+    }
+
+    /** Whether the read that is being passed on left nothing in the socket. */
+    boolean isSocketEmpty() {
+        return socketEmpty;
+    }
+
     /** Whether what it passes on now has been kept for a while. */
     boolean isReplaying() {
         return replaying;
@@ -128,6 +139,7 @@
         replayDue = false;
         boolean any = false;
         replaying = true;
+        socketEmpty = false;
         while (!paused && !kept.isEmpty()) {
             ByteBuf next = kept.poll();
             addKept(-next.readableBytes());
@@ -158,6 +170,7 @@
         ByteBuf bytes = (ByteBuf) message;
         int length = bytes.readableBytes();
         receivedBytes += length;
+        socketEmpty = bytes.isWritable();
         reading = true;
         if (cutOff) {
             bytes.release();
--- a/src/main/java/caperrudder/server/downstream/InboundRequests.java
+++ b/src/main/java/caperrudder/server/downstream/InboundRequests.java
@@ -57,6 +57,18 @@
         reader.flowControl().readSocket();
     }
 
+    /** Reads what stands in the socket of the body on its way, unless that can take no more for now. */
+    void readUpload() {
+        if (isPaused()) {
+            return;
+        }
+        long receivedBefore = reader.flowControl().receivedBytes();
+        readSocketUnlessPaused();
+        if (channel.isActive() && reader.flowControl().receivedBytes() == receivedBefore) {
+            reader.socketFoundEmpty();
+        }
+    }
+
     /** From now on what comes is read away. */
     void discardInput() {
         reader.flowControl().discard();
--- a/src/main/java/caperrudder/server/downstream/RequestReader.java
+++ b/src/main/java/caperrudder/server/downstream/RequestReader.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -47,6 +48,7 @@
     private static final double NONE = -1;
     private static final double HEAD_MS = 2600; // for a head, from its first byte: true clients take up to 2 s
     private static final double BODY_GRACE_MS = 1500; // without a byte of a body, and ahead of its slowest pace
+    private static final long CLIENT_SOCKET_MAX_BYTES = 4 << 20; // unsent at the client, by Linux's default limit
     private static final double BODY_BYTES_PER_MS = 32; // slowest pace of a body: half of what true clients keep
 
     private final Clock clock;
@@ -230,11 +232,30 @@
             return;
         }
         streamedBody.add(part);
-        if (streamedBody.isFull()) {
+        boolean full = streamedBody.isFull();
+        if (flowControl.isSocketEmpty() || (full && hasMoreToComeThanSocketsHold(ctx))) {
+            streamedBody.unfinishedAt(clock.now());
+        }
+        if (full) {
             flowControl.pause(false); // at once: more may stand in the socket
         }
     }
 
+    /** Whether so much of the body is still to come that its client can't have written its end. */
+    private boolean hasMoreToComeThanSocketsHold(ChannelHandlerContext ctx) {
+        long toComeBytes = HttpUtil.getContentLength(head, 0L) - streamedBytes;
+        return toComeBytes > CLIENT_SOCKET_MAX_BYTES
+                && ctx.channel().config() instanceof SocketChannelConfig socket
+                && toComeBytes - CLIENT_SOCKET_MAX_BYTES > socket.getReceiveBufferSize();
+    }
+
+    /** The socket was read just now, and nothing stood in it. */
+    void socketFoundEmpty() {
+        if (streamedBody != null) {
+            streamedBody.unfinishedAt(clock.now());
+        }
+    }
+
     private void streamLast(ChannelHandlerContext ctx, ByteBuf part) {
         RequestBody received = streamedBody;
         streamedBody = null;
--- a/src/main/java/caperrudder/server/http/RequestBody.java
+++ b/src/main/java/caperrudder/server/http/RequestBody.java
@@ -19,6 +19,7 @@
     private final Runnable onRoom;
     private final ArrayDeque<ByteBuf> parts = new ArrayDeque<>();
     private int heldBytes;
+    private double unfinishedAtMs;
     private boolean lastPartReceived;
     private boolean complete;
     private boolean discarded;
@@ -84,6 +85,19 @@
         return lastPartReceived || complete;
     }
 
+    /** At this time, in ms of the gateway's clock, its client had certainly not written its last byte. */
+    public void unfinishedAt(double nowMs) {
+        unfinishedAtMs = nowMs;
+    }
+
+    /**
+     * The last time, in ms of the gateway's clock, at which its client had certainly not written its last byte; 0 where
+     * none is known. What came later may stand unread in a socket, with its end.
+     */
+    public double unfinishedAtMs() {
+        return unfinishedAtMs;
+    }
+
     /** All of it has been added. */
     public void end() {
         complete = true;
--- a/src/main/java/caperrudder/server/runtime/ProtectionCounters.java
+++ b/src/main/java/caperrudder/server/runtime/ProtectionCounters.java
@@ -30,6 +30,8 @@
         BODY_SIZE(Action.REFUSED),
         /** The request came too slowly, or its end did not come. */
         SLOW_REQUEST(Action.REFUSED),
+        /** The host took too little of a long request's body for an answer within the client's time. */
+        UPLOAD_STALLED(Action.REFUSED),
         /** No whole request came on a new connection. */
         SILENT(Action.CLOSED),
         /** The client took nothing of a response for too long. */
