Bound the heads of requests and responses by the memory that they cost

Cause: a head was bounded by the bytes that came; each line of 5 bytes became objects of 140 and more (StrictHeaders), also in trailers and in hosts' answers, and PipelinedMessages counted requests, not their size, while one read was decoded to its end. Evidence: the process ended with exit code 3, out of heap; with 20 or 400 lines a peer it lived. Change: only lines that the gateway asks for are kept, 8 KiB a head at most with their objects, no trailers; requests that wait their turn are bounded in bytes and the decoder stops behind them; HeadMemory bounds the heads of all requests by a share of the heap.

--- a/src/main/java/caperrudder/server/GatewayServer.java
+++ b/src/main/java/caperrudder/server/GatewayServer.java
@@ -18,6 +18,7 @@
 import caperrudder.server.discovery.EndpointListener;
 import caperrudder.server.downstream.DownstreamServer;
 import caperrudder.server.handover.SnapshotExchange;
+import caperrudder.server.http.HeadMemory;
 import caperrudder.server.runtime.Clock;
 import caperrudder.server.runtime.DescriptorBudget;
 import caperrudder.server.runtime.EventLoopContext;
@@ -63,6 +64,7 @@
     private final PeerTransport peers;
     private final DrainController drain;
     private final RequestCounters counters;
+    private final HeadMemory headMemory = new HeadMemory(Runtime.getRuntime().maxMemory());
     private PeerSender peerSender;
     private Optional<EndpointList> knownEndpoints; // until the policy has been notified
     private boolean policyStarted; // before, messages of peers are dropped
@@ -102,6 +104,7 @@
                 0,
                 0,
                 new ClusterHealth(0, 0),
+                0,
                 eventLoop.protections().counts());
         this.policy = new PolicyEventQueue(eventLoop.clock());
         LoadReportParser loadReports = new LoadReportParser(settings.loadReportFields());
@@ -118,7 +121,7 @@
                 loadReports);
         this.drain = new DrainController(eventLoop.loop(), DrainTimings.of(settings.classes()), this);
         this.downstream = new DownstreamServer(
-                eventLoop, config.listen(), settings, () -> descriptors().clients(), dispatcher, drain);
+                eventLoop, config.listen(), settings, () -> descriptors().clients(), headMemory, dispatcher, drain);
         this.discovery = new DiscoveryClient(
                 eventLoop.loop(), config.discovery(), discoveryTimings(settings), knownEndpoints, this);
         this.peers = new PeerTransport(eventLoop.loop(), config.gossip(), this::peerMessageReceived);
@@ -239,6 +242,7 @@
                 counters.sends(),
                 dispatcher.waitingRequests(),
                 policy.clusterHealth(),
+                headMemory.heldBytes(),
                 eventLoop.protections().counts());
     }
 
--- a/src/main/java/caperrudder/server/admin/MetricsSnapshot.java
+++ b/src/main/java/caperrudder/server/admin/MetricsSnapshot.java
@@ -14,6 +14,7 @@
  * @param attemptsSent attempts that were written whole to hosts
  * @param openRequests requests that came whole and have not ended
  * @param cluster the hosts that are listed
+ * @param headBytes what the heads of requests hold
  * @param protections what was refused or closed, by reason
  */
 public record MetricsSnapshot(
@@ -21,6 +22,7 @@
         long attemptsSent,
         long openRequests,
         ClusterHealth cluster,
+        long headBytes,
         Map<Reason, Long> protections) {
     private static final int TEXT_CHARS = 2048; // to begin with
 
@@ -50,6 +52,8 @@
         appendValue(text, "app_cluster_size", cluster.hostCount());
         appendHeader(text, "app_cluster_unhealthy", "gauge", "Listed hosts that are avoided now.");
         appendValue(text, "app_cluster_unhealthy", cluster.unhealthyHostCount());
+        appendHeader(text, "app_held_bytes", "gauge", "Memory that messages hold.");
+        appendValue(text, "app_held_bytes{kind=\"heads\"}", headBytes);
         appendHeader(text, "app_protections_total", "counter", "Requests refused and connections closed, by reason.");
         protections.forEach((reason, count) -> appendProtections(text, reason, count));
         return text.toString();
--- a/src/main/java/caperrudder/server/downstream/ClientConnection.java
+++ b/src/main/java/caperrudder/server/downstream/ClientConnection.java
@@ -50,7 +50,7 @@
         this.channel = channel;
         this.context = context;
         this.idleSinceMs = context.eventLoop().clock().now();
-        this.inbound = new InboundRequests(channel, context.eventLoop());
+        this.inbound = new InboundRequests(channel, context.eventLoop(), context.headMemory());
         this.replies = new ReplyWriter(
                 channel, context.eventLoop().clock(), context.eventLoop().budget());
     }
--- a/src/main/java/caperrudder/server/downstream/DownstreamServer.java
+++ b/src/main/java/caperrudder/server/downstream/DownstreamServer.java
@@ -1,6 +1,7 @@
 package caperrudder.server.downstream;
 
 import caperrudder.api.Settings;
+import caperrudder.server.http.HeadMemory;
 import caperrudder.server.runtime.EventLoopContext;
 import caperrudder.server.runtime.Transport;
 import io.netty.channel.Channel;
@@ -24,12 +25,14 @@
      * Listens to nobody before {@link #start}.
      *
      * @param maxConnections how many clients may be connected now
+     * @param headMemory what the heads of their requests may hold
      */
     public DownstreamServer(
             EventLoopContext eventLoop,
             InetSocketAddress address,
             Settings settings,
             IntSupplier maxConnections,
+            HeadMemory headMemory,
             RequestHandler handler,
             DrainStatus drain) {
         this.eventLoop = eventLoop;
@@ -41,7 +44,7 @@
                 handler,
                 drain,
                 settings.limits().maxRetryAfterMs());
-        this.context = new ConnectionContext(eventLoop, router, drain, eviction);
+        this.context = new ConnectionContext(eventLoop, router, drain, eviction, headMemory);
     }
 
     /** Clients are served once the returned future is done. */
--- a/src/main/java/caperrudder/server/downstream/InboundFlowControl.java
+++ b/src/main/java/caperrudder/server/downstream/InboundFlowControl.java
@@ -3,10 +3,12 @@
 import caperrudder.server.runtime.StreamBufferBudget;
 import caperrudder.server.runtime.Transport;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.ArrayDeque;
+import java.util.function.BooleanSupplier;
 
 /**
  * Pauses what a client sends before it is decoded. A socket that is not read at all does not tell that its client
@@ -27,6 +29,7 @@
 
     private final ArrayDeque<ByteBuf> kept = new ArrayDeque<>();
     private final StreamBufferBudget budget;
+    private final BooleanSupplier undecoded;
     private ChannelHandlerContext context;
     private int keptBytes;
     private int borrowedBytes; // of the budget, beyond what each may keep
@@ -40,8 +43,10 @@
     private boolean replaying; // what was kept is being passed on
     private boolean replayDue; // what is kept is passed on soon
 
-    InboundFlowControl(StreamBufferBudget budget) {
+    /** {@code undecoded}: whether the decoder behind holds bytes that it may go on with once the connection resumes. */
+    InboundFlowControl(StreamBufferBudget budget, BooleanSupplier undecoded) {
         this.budget = budget;
+        this.undecoded = undecoded;
     }
 
     @Override
@@ -55,7 +60,7 @@
 
     /** Whether something has come that nobody has decoded yet. */
     boolean isHolding() {
-        return !kept.isEmpty();
+        return !kept.isEmpty() || replayDue;
     }
 
     /** How many bytes have come on this connection, whatever became of them. */
@@ -82,7 +87,7 @@
 
     void resume() {
         paused = false;
-        if (kept.isEmpty() && !cutOff) {
+        if (kept.isEmpty() && !cutOff && !undecoded.getAsBoolean()) {
             context.channel().config().setAutoRead(true);
         } else if (!replayDue) {
             replayDue = true;
@@ -140,6 +145,10 @@
         boolean any = false;
         replaying = true;
         socketEmpty = false;
+        if (!paused && undecoded.getAsBoolean()) {
+            any = true;
+            context.fireChannelRead(Unpooled.EMPTY_BUFFER);
+        }
         while (!paused && !kept.isEmpty()) {
             ByteBuf next = kept.poll();
             addKept(-next.readableBytes());
--- a/src/main/java/caperrudder/server/downstream/InboundMessage.java
+++ b/src/main/java/caperrudder/server/downstream/InboundMessage.java
@@ -11,12 +11,20 @@
     /** Releases what it holds. */
     void release();
 
+    /** The bytes that it holds. */
+    int heldBytes();
+
     /** A request that has come whole, or of which the body's parts go to the body as they come. */
     record InboundRequest(HttpRequest head, RequestBody body) implements InboundMessage {
         @Override
         public void release() {
             body.discard();
         }
+
+        @Override
+        public int heldBytes() {
+            return body.heldBytes();
+        }
     }
 
     /**
@@ -27,5 +35,10 @@
     record UnreadableRequest(HttpResponseStatus status, Optional<Reason> reason) implements InboundMessage {
         @Override
         public void release() {}
+
+        @Override
+        public int heldBytes() {
+            return 0;
+        }
     }
 }
--- a/src/main/java/caperrudder/server/downstream/InboundRequests.java
+++ b/src/main/java/caperrudder/server/downstream/InboundRequests.java
@@ -1,5 +1,6 @@
 package caperrudder.server.downstream;
 
+import caperrudder.server.http.HeadMemory;
 import caperrudder.server.http.RequestBody;
 import caperrudder.server.runtime.EventLoopContext;
 import caperrudder.server.runtime.Transport;
@@ -17,9 +18,10 @@
     private final PipelinedMessages waiting = new PipelinedMessages();
     private RequestBody upload; // of the last request, while there is more of it to come
 
-    InboundRequests(Channel channel, EventLoopContext eventLoop) {
+    InboundRequests(Channel channel, EventLoopContext eventLoop, HeadMemory headMemory) {
         this.channel = channel;
-        this.reader = new RequestReader(eventLoop.clock(), eventLoop.budget(), this::regulate);
+        this.reader = new RequestReader(
+                eventLoop.clock(), eventLoop.budget(), headMemory, () -> !waiting.isFull(), this::regulate);
         this.throttle = new BadRequestThrottle(eventLoop.loop(), this::regulate);
     }
 
--- a/src/main/java/caperrudder/server/downstream/RequestReader.java
+++ b/src/main/java/caperrudder/server/downstream/RequestReader.java
@@ -2,6 +2,9 @@
 
 import caperrudder.server.downstream.InboundMessage.InboundRequest;
 import caperrudder.server.downstream.InboundMessage.UnreadableRequest;
+import caperrudder.server.http.DiscardedHeaders;
+import caperrudder.server.http.HeadMemory;
+import caperrudder.server.http.HeadMemoryExceededException;
 import caperrudder.server.http.MessageBodies;
 import caperrudder.server.http.RequestBody;
 import caperrudder.server.http.RequestHeaders;
@@ -19,7 +22,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -29,7 +31,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * Puts the requests of one connection together, or passes on that what comes can't be read: then nothing more is, as
@@ -44,7 +48,7 @@
         BODY_COMPLETED
     }
 
-    private static final HttpHeadersFactory HEADERS = StrictHeaders.ofRequests(RequestHeaders.SINGLE_VALUED);
+    private static final int MESSAGE_BYTES = 512; // of the objects that a request without lines or body is
     private static final double NONE = -1;
     private static final double HEAD_MS = 2600; // for a head, from its first byte: true clients take up to 2 s
     private static final double BODY_GRACE_MS = 1500; // without a byte of a body, and ahead of its slowest pace
@@ -54,8 +58,11 @@
     private final Clock clock;
     private final StreamBufferBudget budget;
     private final InboundFlowControl flowControl;
+    private final HeadMemory headMemory;
+    private final BooleanSupplier mayReadAhead;
     private final Runnable onRoom;
     private final Decoder decoder = new Decoder();
+    private HeadMemory.Lease headLease; // of the head that comes or came last; null where a request took it over
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private int streamedFromBytes; // a longer body is passed on as it comes
@@ -67,17 +74,41 @@
     private long streamedBytes;
     private long reads;
 
-    /** {@code onRoom} is run when a body that was full can take more. */
-    RequestReader(Clock clock, StreamBufferBudget budget, Runnable onRoom) {
+    /**
+     * Reads nothing yet.
+     *
+     * @param mayReadAhead whether one more request may be read before those that were
+     * @param onRoom run when a body that was full can take more
+     */
+    RequestReader(
+            Clock clock,
+            StreamBufferBudget budget,
+            HeadMemory headMemory,
+            BooleanSupplier mayReadAhead,
+            Runnable onRoom) {
         this.clock = clock;
         this.budget = budget;
-        this.flowControl = new InboundFlowControl(budget);
+        this.headMemory = headMemory;
+        this.mayReadAhead = mayReadAhead;
+        this.flowControl = new InboundFlowControl(budget, decoder::hasLeftover);
         this.onRoom = onRoom;
     }
 
     private final class Decoder extends HttpRequestDecoder {
         Decoder() {
-            super(new HttpDecoderConfig().setHeadersFactory(HEADERS));
+            super(new HttpDecoderConfig()
+                    .setHeadersFactory(
+                            StrictHeaders.ofRequests(RequestHeaders.SINGLE_VALUED, RequestReader.this::beginHead))
+                    .setTrailersFactory(DiscardedHeaders.factory()));
+        }
+
+        /** Leaves undecoded what stands behind as many requests as may wait their turn. */
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf bytes, List<Object> out) throws Exception {
+            boolean betweenRequests = head == null && headLease == null;
+            if (!betweenRequests || mayReadAhead.getAsBoolean()) {
+                super.decode(ctx, bytes, out);
+            }
         }
 
         @Override
@@ -98,6 +129,26 @@
         }
     }
 
+    private HeadMemory.Lease beginHead() {
+        releaseHead();
+        headLease = headMemory.lease();
+        return headLease;
+    }
+
+    /** The request that has been read answers for its head from now on. */
+    private HeadMemory.Lease handOverHead() {
+        HeadMemory.Lease lease = headLease;
+        headLease = null;
+        return lease;
+    }
+
+    private void releaseHead() {
+        if (headLease != null) {
+            headLease.close();
+            headLease = null;
+        }
+    }
+
     void addTo(ChannelPipeline pipeline) {
         pipeline.addLast(flowControl, new HttpResponseEncoder(), decoder, this);
     }
@@ -162,7 +213,9 @@
     }
 
     private void rejectUnreadable(ChannelHandlerContext ctx, Throwable fault) {
-        if (fault instanceof TooLongFrameException) {
+        if (fault instanceof HeadMemoryExceededException) {
+            reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, Reason.HEAD_MEMORY);
+        } else if (fault instanceof TooLongFrameException) {
             reject(ctx, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, Reason.HEAD_SIZE);
         } else {
             reject(ctx, HttpResponseStatus.BAD_REQUEST);
@@ -172,7 +225,9 @@
     private void begin(ChannelHandlerContext ctx, HttpRequest request) {
         head = request;
         restartTimeouts();
-        if (!isSupported(request)) {
+        if (!headLease.tryGrow(MESSAGE_BYTES + request.uri().length())) {
+            reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, Reason.HEAD_MEMORY);
+        } else if (!isSupported(request)) {
             reject(ctx, HttpResponseStatus.BAD_REQUEST);
         } else if (HttpUtil.getContentLength(request, 0L) > MessageBodies.MAX_BYTES) {
             reject(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, Reason.BODY_SIZE); // before any of it is read
@@ -203,7 +258,7 @@
         }
         body = MessageBodies.join(ctx, body, content.content());
         if (content instanceof LastHttpContent) {
-            InboundRequest request = new InboundRequest(head, RequestBody.buffered(body));
+            InboundRequest request = new InboundRequest(head, RequestBody.buffered(body, handOverHead()));
             head = null;
             body = Unpooled.EMPTY_BUFFER;
             sinceMs = decoder.hasLeftover() ? clock.now() : NONE;
@@ -212,7 +267,7 @@
     }
 
     private void startStreaming(ChannelHandlerContext ctx) {
-        streamedBody = RequestBody.streamed(budget.windowBytes(), onRoom);
+        streamedBody = RequestBody.streamed(budget.windowBytes(), onRoom, handOverHead());
         if (body.isReadable()) {
             streamedBody.add(body);
             body = Unpooled.EMPTY_BUFFER;
@@ -304,6 +359,7 @@
         ended = true;
         sinceMs = NONE;
         head = null;
+        releaseHead();
         if (streamedBody != null) {
             streamedBody.discard();
             streamedBody = null;
--- a/src/main/java/caperrudder/server/http/RequestBody.java
+++ b/src/main/java/caperrudder/server/http/RequestBody.java
@@ -17,6 +17,7 @@
     private final ByteBuf buffered; // null where the body is streamed
     private final int windowBytes;
     private final Runnable onRoom;
+    private final HeadMemory.Lease head;
     private final ArrayDeque<ByteBuf> parts = new ArrayDeque<>();
     private int heldBytes;
     private double unfinishedAtMs;
@@ -25,16 +26,21 @@
     private boolean discarded;
     private Sink sink;
 
-    private RequestBody(ByteBuf buffered, int windowBytes, Runnable onRoom) {
+    private RequestBody(ByteBuf buffered, int windowBytes, Runnable onRoom, HeadMemory.Lease head) {
         this.buffered = buffered;
         this.complete = buffered != null;
         this.windowBytes = windowBytes;
         this.onRoom = onRoom;
+        this.head = head;
     }
 
-    /** A body that has come whole; the buffer is taken over. */
-    public static RequestBody buffered(ByteBuf body) {
-        return new RequestBody(body, 0, () -> {});
+    /**
+     * A body that has come whole; the buffer is taken over.
+     *
+     * @param head what the head of its request holds, until the body is discarded
+     */
+    public static RequestBody buffered(ByteBuf body, HeadMemory.Lease head) {
+        return new RequestBody(body, 0, () -> {}, head);
     }
 
     /**
@@ -42,9 +48,10 @@
      *
      * @param windowBytes from so many bytes held on, the body is full
      * @param onRoom run when a body that was full no longer is
+     * @param head what the head of its request holds, until the body is discarded
      */
-    public static RequestBody streamed(int windowBytes, Runnable onRoom) {
-        return new RequestBody(null, windowBytes, onRoom);
+    public static RequestBody streamed(int windowBytes, Runnable onRoom, HeadMemory.Lease head) {
+        return new RequestBody(null, windowBytes, onRoom, head);
     }
 
     /** Whether it came whole, so that every attempt can send it. */
@@ -57,6 +64,11 @@
         return buffered != null && !buffered.isReadable();
     }
 
+    /** The bytes that the request holds here, with its head. */
+    public int heldBytes() {
+        return head.bytes() + (buffered == null ? heldBytes : buffered.readableBytes());
+    }
+
     /** For one attempt, of a body that is buffered; the caller releases it. */
     public ByteBuf copy() {
         return buffered.retainedDuplicate();
@@ -151,6 +163,7 @@
         }
         boolean wasFull = isFull();
         discarded = true;
+        head.close();
         sink = null;
         parts.forEach(ByteBuf::release);
         parts.clear();
--- a/src/main/java/caperrudder/server/runtime/ProtectionCounters.java
+++ b/src/main/java/caperrudder/server/runtime/ProtectionCounters.java
@@ -26,6 +26,8 @@
         PIPELINED(Action.REFUSED),
         /** The request's head is longer than allowed. */
         HEAD_SIZE(Action.REFUSED),
+        /** The heads of all requests hold as much memory as they may. */
+        HEAD_MEMORY(Action.REFUSED),
         /** The request's body is longer than allowed. */
         BODY_SIZE(Action.REFUSED),
         /** The request came too slowly, or its end did not come. */
--- a/src/main/java/caperrudder/server/upstream/HostResponseDecoder.java
+++ b/src/main/java/caperrudder/server/upstream/HostResponseDecoder.java
@@ -1,18 +1,24 @@
 package caperrudder.server.upstream;
 
+import caperrudder.server.http.DiscardedHeaders;
 import caperrudder.server.http.StrictHeaders;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 
 /** Decodes hosts' responses; their header lines may hold anything but what leaves their length open. */
 final class HostResponseDecoder extends HttpResponseDecoder {
+    private static final HttpHeadersFactory HEADERS = StrictHeaders.ofResponses(List.of(
+            LoadReportParser.LOAD_HEADER, LoadReportParser.QUOTA_USED_HEADER, ResponseAssembler.NEVER_RAN_HEADER));
+
     private final UpstreamConnection connection;
 
     HostResponseDecoder(UpstreamConnection connection) {
-        super(new HttpDecoderConfig().setHeadersFactory(StrictHeaders.ofResponses()));
+        super(new HttpDecoderConfig().setHeadersFactory(HEADERS).setTrailersFactory(DiscardedHeaders.factory()));
         this.connection = connection;
     }
 
--- a/src/main/java/caperrudder/server/upstream/LoadReportParser.java
+++ b/src/main/java/caperrudder/server/upstream/LoadReportParser.java
@@ -2,14 +2,15 @@
 
 import caperrudder.server.http.HeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.AsciiString;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /** Reads what hosts tell beside a response's body: their load, and the customer's metered use of its quota. */
 public final class LoadReportParser {
-    private static final String LOAD_HEADER = "Endpoint-Load-Metrics";
-    private static final String QUOTA_USED_HEADER = "X-Quota-Used";
+    static final AsciiString LOAD_HEADER = AsciiString.cached("Endpoint-Load-Metrics");
+    static final AsciiString QUOTA_USED_HEADER = AsciiString.cached("X-Quota-Used");
     private static final int NOT_REPORTED = 0;
     private static final double[] NO_REPORT = {};
 
--- a/src/main/java/caperrudder/server/upstream/ResponseAssembler.java
+++ b/src/main/java/caperrudder/server/upstream/ResponseAssembler.java
@@ -17,11 +17,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 
 /** Puts the responses on one connection together, or streams them where they are too long to be buffered. */
 final class ResponseAssembler {
     private static final int INTERIM_MAX = 16; // 1xx responses ahead of one
-    private static final String NEVER_RAN_HEADER = "X-Never-Ran";
+    static final AsciiString NEVER_RAN_HEADER = AsciiString.cached("X-Never-Ran");
     private static final String NEVER_RAN = "1";
 
     private final UpstreamConnection connection;
