--- a/src/main/java/caperrudder/server/downstream/ClientConnection.java
+++ b/src/main/java/caperrudder/server/downstream/ClientConnection.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -21,7 +20,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One client connection: one request at a time, in order; what is sent ahead (pipelined) waits its turn. Each request
@@ -30,7 +28,6 @@
 public final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final double SILENT_MS = 2600; // for the first request: true clients take up to 2 s for a head
     private static final int USED_ONCE = 1; // requests on a connection that need not bring another
-    private static final long LINGER_MS = 300; // for the client's end, behind the last response; less than an exit's
 
     private final Channel channel;
     private final ConnectionContext context;
@@ -63,7 +60,6 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         if (!context.eviction().add(this)) {
-            context.count(Reason.NO_DESCRIPTOR);
             ended = true;
             channel.close();
         }
@@ -106,22 +102,17 @@
         }
     }
 
-    /**
-     * Ends the output alone, and reads away what still comes until the client ends its side or for a short while: a
-     * close over unread bytes resets the connection, and what the client has not taken yet goes with it.
-     */
+    /** Closes it as soon as the client has taken what was written; nothing more is read of it. */
     void closeGently() {
         ended = true;
         inbound.forgetUpload();
         context.eviction().exempt(this);
-        if (!channel.isActive() || !(channel instanceof SocketChannel socketChannel)) {
+        if (LingeringClose.isPossible(channel)) {
+            context.eviction().lingers(this);
+            LingeringClose.begin(channel, inbound);
+        } else {
             channel.close();
-            return;
         }
-        context.eviction().lingers(this);
-        inbound.discardInput();
-        socketChannel.shutdownOutput();
-        context.eventLoop().loop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
     void closeNow() {
@@ -129,12 +120,6 @@
         channel.close();
     }
 
-    /** Closes it at once, as a new connection needs its descriptor. */
-    void giveWay() {
-        context.count(Reason.EVICTED);
-        closeNow();
-    }
-
     void closeUnfinished() {
         if (busy || ended || isOwed()) {
             return; // it ends with its response
@@ -196,13 +181,10 @@
             breakOff();
         } else if (inbound.isUploading() && !busy) { // it was answered, and only its rest did not come
             closeGently();
-        } else if (inbound.isUploading()) {
+        } else if (inbound.isUploading() || inbound.isInsideRequest()) {
             context.count(Reason.SLOW_REQUEST);
             abandonUpload();
             reply(HttpResponseStatus.REQUEST_TIMEOUT, 0);
-        } else if (inbound.isInsideRequest()) {
-            context.count(Reason.SLOW_REQUEST);
-            reply(HttpResponseStatus.REQUEST_TIMEOUT, 0);
         } else {
             context.count(Reason.SILENT);
             closeNow();
--- a/src/main/java/caperrudder/server/downstream/ConnectionEviction.java
+++ b/src/main/java/caperrudder/server/downstream/ConnectionEviction.java
@@ -1,6 +1,8 @@
 package caperrudder.server.downstream;
 
 import caperrudder.server.runtime.Clock;
+import caperrudder.server.runtime.ProtectionCounters;
+import caperrudder.server.runtime.ProtectionCounters.Reason;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.function.IntSupplier;
@@ -19,6 +21,7 @@
 
     private final Clock clock;
     private final IntSupplier maxConnections;
+    private final ProtectionCounters protections;
     private final LinkedHashSet<ClientConnection> connections = new LinkedHashSet<>();
     private final LinkedHashSet<ClientConnection> unused = new LinkedHashSet<>(); // no whole request came yet
     private final LinkedHashSet<ClientConnection> usedOnce = new LinkedHashSet<>(); // idle; or for health checks alone
@@ -28,9 +31,10 @@
     private final List<LinkedHashSet<ClientConnection>> order = List.of(unused, usedOnce, idle);
 
     /** {@code maxConnections} may change while another process of this gateway shares the descriptors. */
-    ConnectionEviction(Clock clock, IntSupplier maxConnections) {
+    ConnectionEviction(Clock clock, IntSupplier maxConnections, ProtectionCounters protections) {
         this.clock = clock;
         this.maxConnections = maxConnections;
+        this.protections = protections;
     }
 
     boolean isEmpty() {
@@ -42,6 +46,7 @@
     /** Takes a new connection in; false where there is no room for it and nobody gives way. */
     boolean add(ClientConnection connection) {
         if (connections.size() >= maxConnections.getAsInt() && !makeRoom()) {
+            protections.count(Reason.NO_DESCRIPTOR);
             return false;
         }
         connections.add(connection);
@@ -145,7 +150,8 @@
         int before = connection.messages();
         boolean evictable = connection.isEvictable(forced);
         if (evictable && forced) {
-            connection.giveWay(); // its end is reported only later
+            protections.count(Reason.EVICTED);
+            connection.closeNow(); // its end is reported only later
         } else if (evictable) {
             connection.closeGently();
         } else {
--- a/src/main/java/caperrudder/server/downstream/DownstreamServer.java
+++ b/src/main/java/caperrudder/server/downstream/DownstreamServer.java
@@ -37,7 +37,7 @@
             DrainStatus drain) {
         this.eventLoop = eventLoop;
         this.address = address;
-        this.eviction = new ConnectionEviction(eventLoop.clock(), maxConnections);
+        this.eviction = new ConnectionEviction(eventLoop.clock(), maxConnections, eventLoop.protections());
         RequestRouter router = new RequestRouter(
                 eventLoop,
                 new RequestParser(settings),
