Count the buffers of all connections and bound them by their capacity

Cause: each part of a body kept the whole buffer that it was read into, up to 16 KiB for one byte (MessageBodies.join, RequestBody), and nothing counted buffers but the windows of streamed responses. With 16 MB of direct memory used up every read waited half a second on the event loop and closed its connection. Why it works: what counts is the capacity of each buffer wherever it is held, and each message may take a share of what is left alone.

--- a/src/main/java/caperrudder/server/GatewayServer.java
+++ b/src/main/java/caperrudder/server/GatewayServer.java
@@ -19,13 +19,13 @@
 import caperrudder.server.downstream.DownstreamServer;
 import caperrudder.server.handover.SnapshotExchange;
 import caperrudder.server.http.HeadMemory;
+import caperrudder.server.runtime.BufferBudget;
 import caperrudder.server.runtime.Clock;
 import caperrudder.server.runtime.DescriptorBudget;
 import caperrudder.server.runtime.EventLoopContext;
 import caperrudder.server.runtime.EventLoopLag;
 import caperrudder.server.runtime.Log;
 import caperrudder.server.runtime.ProtectionCounters;
-import caperrudder.server.runtime.StreamBufferBudget;
 import caperrudder.server.runtime.Transport;
 import caperrudder.server.upstream.HealthChecker;
 import caperrudder.server.upstream.LoadReportParser;
@@ -105,6 +105,7 @@
                 0,
                 new ClusterHealth(0, 0),
                 0,
+                0,
                 eventLoop.protections().counts());
         this.policy = new PolicyEventQueue(eventLoop.clock());
         LoadReportParser loadReports = new LoadReportParser(settings.loadReportFields());
@@ -139,7 +140,7 @@
                 group,
                 loop,
                 new EventLoopLag(clock, loop),
-                new StreamBufferBudget(limits.memoryMb()),
+                new BufferBudget(limits.memoryMb()),
                 new ProtectionCounters());
     }
 
@@ -243,6 +244,7 @@
                 dispatcher.waitingRequests(),
                 policy.clusterHealth(),
                 headMemory.heldBytes(),
+                eventLoop.budget().heldBytes(),
                 eventLoop.protections().counts());
     }
 
--- a/src/main/java/caperrudder/server/admin/MetricsSnapshot.java
+++ b/src/main/java/caperrudder/server/admin/MetricsSnapshot.java
@@ -15,6 +15,7 @@
  * @param openRequests requests that came whole and have not ended
  * @param cluster the hosts that are listed
  * @param headBytes what the heads of requests hold
+ * @param bufferBytes what the buffers of connections to clients and hosts hold
  * @param protections what was refused or closed, by reason
  */
 public record MetricsSnapshot(
@@ -23,6 +24,7 @@
         long openRequests,
         ClusterHealth cluster,
         long headBytes,
+        long bufferBytes,
         Map<Reason, Long> protections) {
     private static final int TEXT_CHARS = 2048; // to begin with
 
@@ -54,6 +56,7 @@
         appendValue(text, "app_cluster_unhealthy", cluster.unhealthyHostCount());
         appendHeader(text, "app_held_bytes", "gauge", "Memory that messages hold.");
         appendValue(text, "app_held_bytes{kind=\"heads\"}", headBytes);
+        appendValue(text, "app_held_bytes{kind=\"buffers\"}", bufferBytes);
         appendHeader(text, "app_protections_total", "counter", "Requests refused and connections closed, by reason.");
         protections.forEach((reason, count) -> appendProtections(text, reason, count));
         return text.toString();
--- a/src/main/java/caperrudder/server/downstream/ClientConnection.java
+++ b/src/main/java/caperrudder/server/downstream/ClientConnection.java
@@ -148,7 +148,7 @@
         context.eviction().remove(this);
         inbound.releaseAll();
         ended = true;
-        replies.stop();
+        replies.discard();
         disconnectCurrent();
     }
 
@@ -349,8 +349,8 @@
 
     /** That response is whole, or broke: then the client is to see that it is not whole. */
     public void endResponse(boolean whole) {
-        replies.stop();
         if (whole) {
+            replies.stop();
             finish(LastHttpContent.EMPTY_LAST_CONTENT, replies.isClosing() || isLast());
         } else {
             current = null;
--- a/src/main/java/caperrudder/server/downstream/InboundFlowControl.java
+++ b/src/main/java/caperrudder/server/downstream/InboundFlowControl.java
@@ -1,13 +1,13 @@
 package caperrudder.server.downstream;
 
-import caperrudder.server.runtime.StreamBufferBudget;
+import caperrudder.server.http.PartQueue;
+import caperrudder.server.runtime.BufferBudget;
 import caperrudder.server.runtime.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import java.util.ArrayDeque;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -15,23 +15,23 @@
  * has left, so some is still read from it and kept until the connection resumes: behind that its end is seen. What a
  * client has sent beyond is read away once its end has to be known: then the connection ends behind what was kept.
  */
-final class InboundFlowControl extends ChannelInboundHandlerAdapter {
+final class InboundFlowControl extends ChannelDuplexHandler {
     /** Events for the handlers behind this one. */
     enum Event {
         /** All that was kept has been passed on, and what came after it was read away. */
         INPUT_CUT_OFF
     }
 
-    private static final int KEPT_MIN_BYTES = 4 * 1024; // of each client whose requests wait their turn
+    private static final int KEPT_MIN_BYTES =
+            4 * 1024; // of each client whose requests wait their turn; less where little memory is left
     private static final int KEPT_MAX_BYTES = 128 * 1024; // while the budget for all of them lasts
     private static final int READS_MAX = 1024; // at one look, each of some KiB: more than a socket holds
     private static final long DISCARDED_MAX_BYTES = 8 << 20; // after which a client that goes on is closed
 
-    private final ArrayDeque<ByteBuf> kept = new ArrayDeque<>();
-    private final StreamBufferBudget budget;
+    private final PartQueue kept = new PartQueue();
+    private final BufferBudget budget;
     private final BooleanSupplier undecoded;
     private ChannelHandlerContext context;
-    private int keptBytes;
     private int borrowedBytes; // of the budget, beyond what each may keep
     private long receivedBytes;
     private boolean socketEmpty; // right after the last read
@@ -44,7 +44,7 @@
     private boolean replayDue; // what is kept is passed on soon
 
     /** {@code undecoded}: whether the decoder behind holds bytes that it may go on with once the connection resumes. */
-    InboundFlowControl(StreamBufferBudget budget, BooleanSupplier undecoded) {
+    InboundFlowControl(BufferBudget budget, BooleanSupplier undecoded) {
         this.budget = budget;
         this.undecoded = undecoded;
     }
@@ -131,13 +131,14 @@
     }
 
     private void releaseKept() {
-        kept.forEach(ByteBuf::release);
-        kept.clear();
-        addKept(-keptBytes);
+        kept.releaseAll();
+        countKept();
     }
 
     private boolean hasRoom() {
-        return keptBytes < KEPT_MIN_BYTES || (keptBytes < KEPT_MAX_BYTES && budget.hasPipelineRoom());
+        int bytes = kept.heldBytes();
+        return bytes < Math.min(KEPT_MIN_BYTES, budget.readBytes())
+                || (bytes < KEPT_MAX_BYTES && budget.hasPipelineRoom());
     }
 
     private void replay() {
@@ -151,7 +152,7 @@
         }
         while (!paused && !kept.isEmpty()) {
             ByteBuf next = kept.poll();
-            addKept(-next.readableBytes());
+            countKept();
             any = true;
             context.fireChannelRead(next);
         }
@@ -167,9 +168,8 @@
         }
     }
 
-    private void addKept(int bytes) {
-        keptBytes += bytes;
-        int beyond = Math.max(0, keptBytes - KEPT_MIN_BYTES);
+    private void countKept() {
+        int beyond = Math.max(0, kept.heldBytes() - KEPT_MIN_BYTES);
         budget.addPipelinedBytes(beyond - borrowedBytes);
         borrowedBytes = beyond;
     }
@@ -190,22 +190,19 @@
         } else if (!paused && kept.isEmpty()) {
             ctx.fireChannelRead(bytes);
         } else {
-            keep(bytes);
-            addKept(length);
+            kept.add(bytes);
+            countKept();
             if (!hasRoom()) {
                 ctx.channel().config().setAutoRead(false);
             }
         }
     }
 
-    /** Small pieces share a buffer, since each has come in one much larger than itself. */
-    private void keep(ByteBuf bytes) {
-        ByteBuf last = kept.peekLast();
-        if (last != null && last.refCnt() == 1 && last.writableBytes() >= bytes.readableBytes()) {
-            last.writeBytes(bytes);
-            bytes.release();
-        } else {
-            kept.add(bytes);
+    /** The decoder behind asks for another read where one brought it nothing, also while the connection is paused. */
+    @Override
+    public void read(ChannelHandlerContext ctx) {
+        if (ctx.channel().config().isAutoRead()) {
+            ctx.read();
         }
     }
 
--- a/src/main/java/caperrudder/server/downstream/ReplyWriter.java
+++ b/src/main/java/caperrudder/server/downstream/ReplyWriter.java
@@ -1,8 +1,9 @@
 package caperrudder.server.downstream;
 
 import caperrudder.server.http.HeaderValues;
+import caperrudder.server.http.PartQueue;
+import caperrudder.server.runtime.BufferBudget;
 import caperrudder.server.runtime.Clock;
-import caperrudder.server.runtime.StreamBufferBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -28,15 +29,19 @@
     private static final double STALLED_MS = 20_000; // in which a client takes nothing of a response on its way
     private static final double MS_PER_SECOND = 1000;
 
+    /** What may wait to be written of a stream; the parts behind it wait here, where small ones share buffers. */
+    private static final WriteBufferWaterMark UNWRITTEN = new WriteBufferWaterMark(2 * 1024, 4 * 1024);
+
     private final Channel channel;
     private final Clock clock;
-    private final StreamBufferBudget budget;
+    private final BufferBudget budget;
+    private final PartQueue unwritten = new PartQueue();
     private ResponseSource source; // of the response on its way; null between them
     private boolean closing; // the response on its way is the connection's last
     private boolean endedByClose; // and only the connection's end tells that it is whole
     private double takenAtMs; // when the client last took some of it
 
-    ReplyWriter(Channel channel, Clock clock, StreamBufferBudget budget) {
+    ReplyWriter(Channel channel, Clock clock, BufferBudget budget) {
         this.channel = channel;
         this.clock = clock;
         this.budget = budget;
@@ -107,33 +112,48 @@
         if (closing) {
             to.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        setSource(parts);
-        int window = budget.windowBytes();
-        channel.config().setWriteBufferWaterMark(new WriteBufferWaterMark(window / 2, window));
+        source = parts;
+        channel.config().setWriteBufferWaterMark(UNWRITTEN);
         takenAtMs = clock.now();
         channel.write(to, channel.voidPromise());
     }
 
     /** Takes the part over. */
     void write(ByteBuf part) {
-        channel.writeAndFlush(new DefaultHttpContent(part), channel.voidPromise());
+        unwritten.add(part);
+        writeWhileTaken();
+    }
+
+    /** Writes what waits as far as the client takes it, and reads on where little waits. */
+    private void writeWhileTaken() {
+        boolean any = false;
+        while (channel.isWritable() && !unwritten.isEmpty()) {
+            channel.write(new DefaultHttpContent(unwritten.poll()), channel.voidPromise());
+            any = true;
+            if (!channel.isWritable()) {
+                channel.flush();
+            }
+        }
+        if (any) {
+            channel.flush();
+        }
         if (source != null) { // else the write has ended the connection
-            source.setReading(channel.isWritable());
+            source.setReading(unwritten.heldBytes() < budget.windowBytes());
         }
     }
 
-    /** No more parts come, be the response whole or not. */
+    /** No more parts come of a response that is whole: those that wait are written. */
     void stop() {
-        setSource(null);
+        source = null;
+        for (ByteBuf part = unwritten.poll(); part != null; part = unwritten.poll()) {
+            channel.write(new DefaultHttpContent(part), channel.voidPromise());
+        }
     }
 
-    private void setSource(ResponseSource next) {
-        if (source == null && next != null) {
-            budget.streamOpened();
-        } else if (source != null && next == null) {
-            budget.streamClosed();
-        }
-        source = next;
+    /** No more parts come, and those that wait are dropped: the response broke, or its client has gone. */
+    void discard() {
+        source = null;
+        unwritten.releaseAll();
     }
 
     boolean isStreaming() {
@@ -143,7 +163,7 @@
     /** Whether something written still waits to be taken by the client. */
     boolean isPending() {
         ChannelOutboundBuffer pending = channel.isActive() ? channel.unsafe().outboundBuffer() : null;
-        return pending != null && pending.totalPendingWriteBytes() > 0;
+        return !unwritten.isEmpty() || (pending != null && pending.totalPendingWriteBytes() > 0);
     }
 
     /** Whether the response that is or was last on its way is the connection's last. */
@@ -153,6 +173,7 @@
 
     /** Ends the connection inside a response. Where its end alone would tell that it is whole, by a reset. */
     void abort() {
+        discard();
         if (endedByClose && channel instanceof SocketChannel socketChannel) {
             socketChannel.config().setSoLinger(0);
         }
@@ -168,7 +189,7 @@
     void writabilityChanged() {
         if (source != null) {
             takenAtMs = clock.now();
-            source.setReading(channel.isWritable());
+            writeWhileTaken();
         }
     }
 }
--- a/src/main/java/caperrudder/server/downstream/RequestReader.java
+++ b/src/main/java/caperrudder/server/downstream/RequestReader.java
@@ -2,6 +2,7 @@
 
 import caperrudder.server.downstream.InboundMessage.InboundRequest;
 import caperrudder.server.downstream.InboundMessage.UnreadableRequest;
+import caperrudder.server.http.BodyBuffer;
 import caperrudder.server.http.DiscardedHeaders;
 import caperrudder.server.http.HeadMemory;
 import caperrudder.server.http.HeadMemoryExceededException;
@@ -9,11 +10,11 @@
 import caperrudder.server.http.RequestBody;
 import caperrudder.server.http.RequestHeaders;
 import caperrudder.server.http.StrictHeaders;
+import caperrudder.server.runtime.BufferBudget;
 import caperrudder.server.runtime.Clock;
 import caperrudder.server.runtime.ProtectionCounters.Reason;
-import caperrudder.server.runtime.StreamBufferBudget;
+import caperrudder.server.runtime.ReadBuffers;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -56,15 +57,16 @@
     private static final double BODY_BYTES_PER_MS = 32; // slowest pace of a body: half of what true clients keep
 
     private final Clock clock;
-    private final StreamBufferBudget budget;
+    private final BufferBudget budget;
     private final InboundFlowControl flowControl;
     private final HeadMemory headMemory;
     private final BooleanSupplier mayReadAhead;
     private final Runnable onRoom;
     private final Decoder decoder = new Decoder();
     private HeadMemory.Lease headLease; // of the head that comes or came last; null where a request took it over
+    private ReadBuffers readBuffers;
     private HttpRequest head;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private final BodyBuffer body = new BodyBuffer();
     private int streamedFromBytes; // a longer body is passed on as it comes
     private RequestBody streamedBody; // of a request that was passed on before its end
     private boolean ended;
@@ -81,11 +83,7 @@
      * @param onRoom run when a body that was full can take more
      */
     RequestReader(
-            Clock clock,
-            StreamBufferBudget budget,
-            HeadMemory headMemory,
-            BooleanSupplier mayReadAhead,
-            Runnable onRoom) {
+            Clock clock, BufferBudget budget, HeadMemory headMemory, BooleanSupplier mayReadAhead, Runnable onRoom) {
         this.clock = clock;
         this.budget = budget;
         this.headMemory = headMemory;
@@ -150,6 +148,8 @@
     }
 
     void addTo(ChannelPipeline pipeline) {
+        readBuffers = budget.applyTo(pipeline.channel());
+        readBuffers.setReadsBody(false);
         pipeline.addLast(flowControl, new HttpResponseEncoder(), decoder, this);
     }
 
@@ -224,6 +224,7 @@
 
     private void begin(ChannelHandlerContext ctx, HttpRequest request) {
         head = request;
+        readBuffers.setReadsBody(HttpUtil.isTransferEncodingChunked(request) || HttpUtil.isContentLengthSet(request));
         restartTimeouts();
         if (!headLease.tryGrow(MESSAGE_BYTES + request.uri().length())) {
             reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, Reason.HEAD_MEMORY);
@@ -249,29 +250,28 @@
         int length = content.content().readableBytes();
         bodyBytes += length;
         progressAtMs = length > 0 ? clock.now() : progressAtMs;
-        if (streamedBody == null && body.readableBytes() + length > streamedFromBytes) {
+        if (length > 0 && budget.isExhausted()) {
+            reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, Reason.BUFFER_MEMORY);
+            return;
+        }
+        if (streamedBody == null && body.length() + length > Math.min(streamedFromBytes, budget.windowBytes())) {
             startStreaming(ctx);
         }
         if (streamedBody != null) {
             stream(ctx, content);
             return;
         }
-        body = MessageBodies.join(ctx, body, content.content());
+        body.add(content.content());
         if (content instanceof LastHttpContent) {
-            InboundRequest request = new InboundRequest(head, RequestBody.buffered(body, handOverHead()));
-            head = null;
-            body = Unpooled.EMPTY_BUFFER;
-            sinceMs = decoder.hasLeftover() ? clock.now() : NONE;
+            InboundRequest request = new InboundRequest(head, RequestBody.buffered(body.take(), handOverHead()));
+            requestEnded();
             ctx.fireChannelRead(request);
         }
     }
 
     private void startStreaming(ChannelHandlerContext ctx) {
-        streamedBody = RequestBody.streamed(budget.windowBytes(), onRoom, handOverHead());
-        if (body.isReadable()) {
-            streamedBody.add(body);
-            body = Unpooled.EMPTY_BUFFER;
-        }
+        streamedBody = RequestBody.streamed(budget::windowBytes, onRoom, handOverHead());
+        streamedBody.add(body.take());
         ctx.fireChannelRead(new InboundRequest(head, streamedBody));
     }
 
@@ -314,13 +314,18 @@
     private void streamLast(ChannelHandlerContext ctx, ByteBuf part) {
         RequestBody received = streamedBody;
         streamedBody = null;
-        head = null;
         streamedBytes = 0;
-        sinceMs = decoder.hasLeftover() ? clock.now() : NONE;
+        requestEnded();
         received.lastPartReceived();
         ctx.executor().execute(() -> complete(ctx, received, part));
     }
 
+    private void requestEnded() {
+        head = null;
+        readBuffers.setReadsBody(false);
+        sinceMs = decoder.hasLeftover() ? clock.now() : NONE;
+    }
+
     /** A host starts a request with its last byte, so the client's end, which may stand behind it, is read first. */
     private void complete(ChannelHandlerContext ctx, RequestBody received, ByteBuf part) {
         flowControl.readSocket();
@@ -365,7 +370,6 @@
             streamedBody = null;
         }
         body.release();
-        body = Unpooled.EMPTY_BUFFER;
     }
 
     @Override
--- a/src/main/java/caperrudder/server/http/RequestBody.java
+++ b/src/main/java/caperrudder/server/http/RequestBody.java
@@ -1,7 +1,7 @@
 package caperrudder.server.http;
 
 import io.netty.buffer.ByteBuf;
-import java.util.ArrayDeque;
+import java.util.function.IntSupplier;
 
 /**
  * A request's body: buffered whole, so that each attempt can send it, or streamed, when what a host has taken is gone
@@ -15,18 +15,17 @@
     }
 
     private final ByteBuf buffered; // null where the body is streamed
-    private final int windowBytes;
+    private final IntSupplier windowBytes;
     private final Runnable onRoom;
     private final HeadMemory.Lease head;
-    private final ArrayDeque<ByteBuf> parts = new ArrayDeque<>();
-    private int heldBytes;
+    private final PartQueue parts = new PartQueue();
     private double unfinishedAtMs;
     private boolean lastPartReceived;
     private boolean complete;
     private boolean discarded;
     private Sink sink;
 
-    private RequestBody(ByteBuf buffered, int windowBytes, Runnable onRoom, HeadMemory.Lease head) {
+    private RequestBody(ByteBuf buffered, IntSupplier windowBytes, Runnable onRoom, HeadMemory.Lease head) {
         this.buffered = buffered;
         this.complete = buffered != null;
         this.windowBytes = windowBytes;
@@ -40,17 +39,17 @@
      * @param head what the head of its request holds, until the body is discarded
      */
     public static RequestBody buffered(ByteBuf body, HeadMemory.Lease head) {
-        return new RequestBody(body, 0, () -> {}, head);
+        return new RequestBody(body, () -> 0, () -> {}, head);
     }
 
     /**
      * A body of which there is more to come.
      *
-     * @param windowBytes from so many bytes held on, the body is full
-     * @param onRoom run when a body that was full no longer is
+     * @param windowBytes from so many bytes held on, the body is full; may change
+     * @param onRoom run when something has been taken and the body is not full
      * @param head what the head of its request holds, until the body is discarded
      */
-    public static RequestBody streamed(int windowBytes, Runnable onRoom, HeadMemory.Lease head) {
+    public static RequestBody streamed(IntSupplier windowBytes, Runnable onRoom, HeadMemory.Lease head) {
         return new RequestBody(null, windowBytes, onRoom, head);
     }
 
@@ -66,7 +65,7 @@
 
     /** The bytes that the request holds here, with its head. */
     public int heldBytes() {
-        return head.bytes() + (buffered == null ? heldBytes : buffered.readableBytes());
+        return head.bytes() + (buffered == null ? parts.heldBytes() : buffered.readableBytes());
     }
 
     /** For one attempt, of a body that is buffered; the caller releases it. */
@@ -78,12 +77,11 @@
 
     /** Takes the part over. */
     public void add(ByteBuf part) {
-        if (discarded || !part.isReadable()) {
+        if (discarded) {
             part.release();
             return;
         }
-        parts.addLast(part);
-        heldBytes += part.readableBytes();
+        parts.add(part);
         notifySink();
     }
 
@@ -129,7 +127,7 @@
 
     /** Whether its client is not to be read further for now. */
     public boolean isFull() {
-        return heldBytes >= windowBytes && !discarded && buffered == null;
+        return buffered == null && !discarded && parts.heldBytes() >= windowBytes.getAsInt();
     }
 
     /** From now on this one sends it; nobody where null. */
@@ -140,13 +138,9 @@
 
     /** The next part, which the caller owns, or null where none is held. */
     public ByteBuf poll() {
-        ByteBuf part = parts.pollFirst();
-        if (part != null) {
-            boolean wasFull = isFull();
-            heldBytes -= part.readableBytes();
-            if (wasFull && !isFull()) {
-                onRoom.run();
-            }
+        ByteBuf part = parts.poll();
+        if (part != null && !isFull()) { // the window may have been another one when it was
+            onRoom.run();
         }
         return part;
     }
@@ -161,18 +155,13 @@
         if (discarded) {
             return;
         }
-        boolean wasFull = isFull();
         discarded = true;
         head.close();
         sink = null;
-        parts.forEach(ByteBuf::release);
-        parts.clear();
-        heldBytes = 0;
+        parts.releaseAll();
         if (buffered != null) {
             buffered.release();
         }
-        if (wasFull) {
-            onRoom.run();
-        }
+        onRoom.run();
     }
 }
--- a/src/main/java/caperrudder/server/runtime/EventLoopContext.java
+++ b/src/main/java/caperrudder/server/runtime/EventLoopContext.java
@@ -15,7 +15,7 @@
         NioEventLoopGroup group,
         EventLoop loop,
         EventLoopLag lag,
-        StreamBufferBudget budget,
+        BufferBudget budget,
         ProtectionCounters protections) {
     private static final double MICROS_PER_MS = 1000;
 
--- a/src/main/java/caperrudder/server/runtime/ProtectionCounters.java
+++ b/src/main/java/caperrudder/server/runtime/ProtectionCounters.java
@@ -28,6 +28,8 @@
         HEAD_SIZE(Action.REFUSED),
         /** The heads of all requests hold as much memory as they may. */
         HEAD_MEMORY(Action.REFUSED),
+        /** So much is held in buffers that no further body is read. */
+        BUFFER_MEMORY(Action.REFUSED),
         /** The request's body is longer than allowed. */
         BODY_SIZE(Action.REFUSED),
         /** The request came too slowly, or its end did not come. */
--- a/src/main/java/caperrudder/server/runtime/Transport.java
+++ b/src/main/java/caperrudder/server/runtime/Transport.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
@@ -36,17 +35,12 @@
                     .option(ChannelOption.RCVBUF_ALLOCATOR, accepting())
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
-                    .childOption(ChannelOption.TCP_NODELAY, true)
-                    .childOption(ChannelOption.RCVBUF_ALLOCATOR, readBuffers());
+                    .childOption(ChannelOption.TCP_NODELAY, true);
         }
 
         @Override
         public Bootstrap client(EventLoop loop) {
-            return new Bootstrap()
-                    .group(loop)
-                    .channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true)
-                    .option(ChannelOption.RCVBUF_ALLOCATOR, readBuffers());
+            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
         }
 
         @Override
@@ -74,13 +68,6 @@
     };
 
     private static final int BACKLOG = 512; // connections that wait to be accepted
-    private static final int READ_MIN_BYTES = 512;
-    private static final int READ_FIRST_BYTES = 2048;
-    private static final int READ_MAX_BYTES = 16 * 1024; // a stream holds little more than its window
-
-    private static RecvByteBufAllocator readBuffers() {
-        return new AdaptiveRecvByteBufAllocator(READ_MIN_BYTES, READ_FIRST_BYTES, READ_MAX_BYTES);
-    }
 
     /** A few connections for each select, after which the descriptors of those that were closed are really free. */
     public static RecvByteBufAllocator accepting() {
--- a/src/main/java/caperrudder/server/upstream/RequestUpload.java
+++ b/src/main/java/caperrudder/server/upstream/RequestUpload.java
@@ -3,12 +3,16 @@
 import caperrudder.server.http.RequestBody;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 
 /** Sends streamed bodies on one connection, as they come and as fast as the host takes them. */
 final class RequestUpload implements RequestBody.Sink {
+    /** What may wait to be written: the parts behind it wait in the body, where small ones share buffers. */
+    private static final WriteBufferWaterMark UNWRITTEN = new WriteBufferWaterMark(2 * 1024, 4 * 1024);
+
     private final UpstreamConnection connection;
     private Channel channel;
     private RequestBody body; // null between uploads
@@ -24,6 +28,7 @@
         channel = to;
         partSent = false;
         body = parts;
+        channel.config().setWriteBufferWaterMark(UNWRITTEN);
         channel.write(head, channel.voidPromise());
         parts.setSink(this);
     }
--- a/src/main/java/caperrudder/server/upstream/ResponseAssembler.java
+++ b/src/main/java/caperrudder/server/upstream/ResponseAssembler.java
@@ -1,11 +1,11 @@
 package caperrudder.server.upstream;
 
 import caperrudder.api.Outcome;
+import caperrudder.server.http.BodyBuffer;
 import caperrudder.server.http.MessageBodies;
-import caperrudder.server.runtime.StreamBufferBudget;
+import caperrudder.server.runtime.BufferBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -26,15 +26,15 @@
     private static final String NEVER_RAN = "1";
 
     private final UpstreamConnection connection;
-    private final StreamBufferBudget budget;
+    private final BufferBudget budget;
     private HttpResponse head; // of the response that is being read
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private final BodyBuffer body = new BodyBuffer();
     private int interimResponses;
     private int streamedFromBytes; // a longer response is streamed
     private long streamedBytes;
     private boolean streaming;
 
-    ResponseAssembler(UpstreamConnection connection, StreamBufferBudget budget) {
+    ResponseAssembler(UpstreamConnection connection, BufferBudget budget) {
         this.connection = connection;
         this.budget = budget;
     }
@@ -48,7 +48,6 @@
     /** The connection has ended. */
     void release() {
         body.release();
-        body = Unpooled.EMPTY_BUFFER;
     }
 
     boolean isStreaming() {
@@ -72,9 +71,9 @@
     }
 
     /** Reads a part of the body, or its end. */
-    void addContent(ChannelHandlerContext ctx, HttpContent content) {
+    void addContent(HttpContent content) {
         int length = content.content().readableBytes();
-        if (!streaming && body.readableBytes() + length > streamedFromBytes && !isInterim()) {
+        if (!streaming && !isInterim() && body.length() + length > Math.min(streamedFromBytes, budget.windowBytes())) {
             startStreaming();
             if (!connection.isInUse()) {
                 return;
@@ -88,7 +87,7 @@
             }
             stream(content.content().retain());
         } else {
-            body = MessageBodies.join(ctx, body, content.content());
+            body.add(content.content());
         }
         if (content instanceof LastHttpContent) {
             end();
@@ -112,10 +111,8 @@
             connection.close();
         } else if (connection.responseStarted(head)) {
             streaming = true;
-            streamedBytes = body.readableBytes();
-            ByteBuf first = body;
-            body = Unpooled.EMPTY_BUFFER;
-            stream(first);
+            streamedBytes = body.length();
+            stream(body.take());
         } else {
             connection.malformed();
         }
@@ -146,9 +143,8 @@
     }
 
     private void endBuffered() {
-        FullHttpResponse response = whole(body);
+        FullHttpResponse response = whole(body.take());
         connection.setReusable(isReusable());
-        body = Unpooled.EMPTY_BUFFER;
         try {
             connection.end(outcome(response), response);
         } finally {
--- a/src/main/java/caperrudder/server/upstream/UpstreamConnection.java
+++ b/src/main/java/caperrudder/server/upstream/UpstreamConnection.java
@@ -2,9 +2,9 @@
 
 import caperrudder.api.Outcome;
 import caperrudder.server.http.RequestBody;
+import caperrudder.server.runtime.BufferBudget;
 import caperrudder.server.runtime.Clock;
 import caperrudder.server.runtime.FatalErrorHandler;
-import caperrudder.server.runtime.StreamBufferBudget;
 import caperrudder.server.runtime.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -28,6 +28,7 @@
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private final ConnectionPool pool;
     private final Clock clock;
+    private final BufferBudget budget;
     private final HostResponseDecoder decoder = new HostResponseDecoder(this);
     private final RequestUpload upload = new RequestUpload(this);
     private final ResponseAssembler response;
@@ -39,15 +40,17 @@
     private boolean reusable; // answered, and nothing has come since
     private double idleSinceMs;
 
-    UpstreamConnection(ConnectionPool pool, Clock clock, StreamBufferBudget budget) {
+    UpstreamConnection(ConnectionPool pool, Clock clock, BufferBudget budget) {
         this.pool = pool;
         this.clock = clock;
+        this.budget = budget;
         this.response = new ResponseAssembler(this, budget);
         this.stallWatch = new StallWatch(this, clock);
     }
 
     void attach(Channel connecting) {
         channel = connecting;
+        budget.applyTo(connecting);
         connecting.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
     }
 
@@ -228,19 +231,19 @@
             } else if (((HttpObject) message).decoderResult().isFailure()) {
                 malformed();
             } else {
-                read(ctx, message);
+                read(message);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void read(ChannelHandlerContext ctx, Object message) {
+    private void read(Object message) {
         if (message instanceof HttpResponse head) {
             response.begin(head);
         }
         if (message instanceof HttpContent content && exchange != null) {
-            response.addContent(ctx, content);
+            response.addContent(content);
         }
     }
 
--- a/src/test/java/caperrudder/server/HostilePeersTest.java
+++ b/src/test/java/caperrudder/server/HostilePeersTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -21,12 +22,17 @@
 
 /**
  * Whatever some peers send, the process lives in its memory and every request of a true client is served. Guards
- * against peers that ended the process with the heads of requests (docs/incidents/heads-out-of-heap.md).
+ * against peers that ended the process with the heads of requests (docs/incidents/heads-out-of-heap.md), and against
+ * requests that were never answered as direct memory was used up (docs/incidents/buffers-out-of-direct-memory.md).
  */
 @Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class HostilePeersTest extends GatewaySocketTest {
     private static final int PEERS = 400;
     private static final int TRUE_CLIENTS = 4;
+    private static final int WRITERS = 150; // of bodies
+    private static final int BODY_BYTES = 64 * 1024;
+    private static final int LARGE_PIECE_BYTES = 2048;
+    private static final int PIECE_MS = 3;
     private static final int WORK_MS = 300; // of a host, for each request
     private static final int PEERS_STAY_MS = 2500;
     private static final int LINES_OF_A_HEAD = 1600; // 8,000 bytes in all
@@ -55,11 +61,23 @@
                 return "POST /order/x HTTP/1.1\r\n" + headers(id, TIMEOUT_MS) + "Idempotency-Key: k-" + id
                         + "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + SHORT_LINES;
             }
+        },
+        /** What is not read ahead once waited undecoded, decoded or as it came, however much it was. */
+        REQUESTS_AHEAD_OF_THEIR_TURN {
+            @Override
+            String text(String id) {
+                return view(id, TIMEOUT_MS) + "GET / HTTP/1.1\r\n\r\n".repeat(2000);
+            }
         };
 
         abstract String text(String id);
     }
 
+    private GatewayInSmallMemory gatewayFor(String host) throws IOException, InterruptedException {
+        discovery = closeAtEnd(new DiscoveryAgent(DiscoveryAgent.list(1, true, entry("h0", host, "ready"))));
+        return closeAtEnd(new GatewayInSmallMemory(folder, discovery.server().address()));
+    }
+
     @ParameterizedTest
     @EnumSource
     void everyTrueClientIsServedBesideAFloodOf(Flood flood) throws Exception {
@@ -67,9 +85,7 @@
             Thread.sleep(WORK_MS);
             echo(message, socket);
         });
-        discovery = closeAtEnd(new DiscoveryAgent(DiscoveryAgent.list(1, true, entry("h0", host.address(), "ready"))));
-        GatewayInSmallMemory gateway =
-                closeAtEnd(new GatewayInSmallMemory(folder, discovery.server().address()));
+        GatewayInSmallMemory gateway = gatewayFor(host.address());
         CountDownLatch peersHaveGone = new CountDownLatch(1);
         List<TrueClient> clients = new ArrayList<>();
         for (int i = 0; i < TRUE_CLIENTS; i++) {
@@ -94,6 +110,35 @@
         assertTrue(gateway.isAlive(), gateway.log());
     }
 
+    /** Each piece once held all of the buffer that it was read into, and nobody could be read any more. */
+    @Test
+    void bodiesInSmallPiecesAreAllServed() throws Exception {
+        GatewayInSmallMemory gateway = gatewayFor(host(GatewaySocketTest::echo).address());
+        byte[] body = new byte[BODY_BYTES];
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < WRITERS; i++) {
+            Socket client = closeAtEnd(gateway.connect());
+            client.setTcpNoDelay(true);
+            client.getOutputStream()
+                    .write(bytes("POST /order/x HTTP/1.1\r\n" + headers("w" + i, TIMEOUT_MS) + "Idempotency-Key: k" + i
+                            + "\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n"));
+            clients.add(client);
+        }
+        for (int at = 0; at < BODY_BYTES; at += LARGE_PIECE_BYTES + 1) {
+            for (Socket client : clients) {
+                client.getOutputStream().write(body, at, Math.min(LARGE_PIECE_BYTES, BODY_BYTES - at));
+            }
+            Thread.sleep(PIECE_MS); // or the pieces would be read as one
+            for (Socket client : clients) {
+                client.getOutputStream().write(body, at, Math.min(1, Math.max(0, BODY_BYTES - at - LARGE_PIECE_BYTES)));
+            }
+            Thread.sleep(PIECE_MS);
+        }
+        for (Socket client : clients) {
+            assertEquals(200, HttpMessage.read(client.getInputStream()).status());
+        }
+    }
+
     /** Sends one request at a time until the peers have gone. */
     private static final class TrueClient extends Thread {
         private final GatewayInSmallMemory gateway;
