Decide by the queue's end whether its last part may take more

Cause: a comparison of references, which Error Prone warns of, so that a clean build stopped with 'warnings found and -Werror specified'; mvn -q had hidden the warning, and the build after it passed since the class files were there. Result: a clean verify without tests passes.

--- a/src/main/java/caperrudder/server/http/PartQueue.java
+++ b/src/main/java/caperrudder/server/http/PartQueue.java
@@ -42,7 +42,7 @@
         if (part != null) {
             heldBytes -= part.readableBytes();
         }
-        if (part == shared) {
+        if (parts.isEmpty()) {
             shared = null;
         }
         return part;
