--- a/src/main/java/caperrudder/policy/gossip/PendingDecisions.java
+++ b/src/main/java/caperrudder/policy/gossip/PendingDecisions.java
@@ -11,7 +11,7 @@
  * <p>Not thread-safe.
  */
 final class PendingDecisions {
-    private static final double REPLY_TIMEOUT_MS = 150;
+    private static final double REPLY_TIMEOUT_MS = 150; // after which a reply that is due counts as missing
     private static final double UNRESPONSIVE_MS = 1000; // an owner that missed a reply is not asked during this time
 
     private final PeerTable peers;
--- a/src/main/java/caperrudder/policy/loadbalancing/EndpointSubset.java
+++ b/src/main/java/caperrudder/policy/loadbalancing/EndpointSubset.java
@@ -13,7 +13,7 @@
  */
 final class EndpointSubset {
     private static final int MIN_SUBSET_SIZE = 8;
-    private static final int TARGET_GATEWAYS_PER_ENDPOINT = 6;
+    private static final int TARGET_GATEWAYS_PER_ENDPOINT = 6; // at least; subsets grow where it would be fewer
     private static final int MAX_SMALL_FLEET_GATEWAYS = 100; // in larger ones, a change must not shift all subsets
     private static final int MIN_ARC_ENDPOINTS = 64; // arcs with fewer endpoints differ too much in size
 
--- a/src/main/java/caperrudder/policy/scheduling/ConcurrencyLimit.java
+++ b/src/main/java/caperrudder/policy/scheduling/ConcurrencyLimit.java
@@ -14,11 +14,13 @@
     private static final double MIN_ATTEMPTS_PER_HOST = 3; // fewer would leave cores of a host idle
     private static final double MAX_ATTEMPTS_PER_HOST = 128; // more do not raise a host's throughput
 
-    private static final double INCREASE_FACTOR = 1.15;
-    private static final double DECREASE_FACTOR = 0.85;
+    private static final double INCREASE_FACTOR = 1.15; // per adaptation, while all slots are in use and latency is low
+    private static final double DECREASE_FACTOR = 0.85; // per adaptation, while the latency is inflated
     private static final double ADAPTATION_INTERVAL_MS = 250;
-    private static final int MIN_ENDED_ATTEMPTS = 8; // with fewer the adaptation is postponed
-    private static final int MAX_INTERVALS_PER_ADAPTATION = 8;
+    /** With fewer the adaptation is postponed: on idle hosts, too, one response in five takes twice its time. */
+    private static final int MIN_ENDED_ATTEMPTS = 8;
+
+    private static final int MAX_INTERVALS_PER_ADAPTATION = 8; // then a few ended attempts are enough
     private static final double INFLATED_LATENCY_RATIO = 1.7; // of latency to base; above it, requests queue at hosts
     private static final double MAX_HARMLESS_OBJECTIVE_SHARE = 0.1; // a lower mean latency is never congestion
     private static final double MAX_UNCONGESTED_OBJECTIVE_SHARE = 0.5; // a higher mean latency is always congestion
