Review case 10: clients that leave inside long requests lift their customer's ceiling

Cause: the units of a request that ends before its body are taken out of CeilingBucket.unsentUnits twice, by markSent and by refund, so that the bucket then fills beyond the ceiling.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")" || exit 2
+PYTHONDONTWRITEBYTECODE=1 exec timeout 115 python3 case.py
