Review case 6: after a few short stops a gateway rejects all that it gets, for good

Cause: a decision that an owner of a quota owes is waited for past its request's deadline after a stop; the dispatcher has then answered 504 and forgotten the request, the policy admits and sends it all the same, and the slot of an attempt that never ends is lost (PendingDecisions.extendReplyDeadlines, RequestDispatcher.deadlinePassed and send).

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,86 +1,116 @@
-"""A host's second copy of an answer comes 12 ms behind the first: nobody may get it as the answer to another request."""
+"""A gateway is held up for 0.14 s a few times while it waits for a peer that is down: afterwards it has to serve on."""
 
 import os
-import random
+import signal
 import sys
 import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-ins-2"))
-from deployment import TROUBLE, Client, classes, request_bytes, run_case
+from deployment import LOOPBACK, TROUBLE, Client, classes, free_port, now_ms, plan, request_bytes, run_case
 
-SEED = 7
-CLIENTS = 8
-REQUESTS = 700  # of each client
-THINK_S = 0.03  # at most, between two requests of a client
-LATE_S = 0.012  # the second copy behind the answer
-SPOILT_SHARE = 0.1  # of the answers
-FULL_SHARE = 0.3  # of the requests are turned away unseen: 503 with X-Never-Ran
-EXPIRES_MS = 5000
+BURSTS = 4
+BURST_REQUESTS = 60  # each of another customer
+HELD_UP_S = 0.14
+QUICK_MS = 250  # the time of the requests in the bursts
+VIEW_MS = 2000  # and of those afterwards
+REST_S = 1.5  # behind each burst
+AFTERWARDS_S = 6.0
+REJECTS_ALL_S = 4.0  # STANDING: no gateway may reject all that it gets for so long
+REJECTED_MIN = 15
+MASK = (1 << 64) - 1
 
 
-def whole_answer(request, full):
-    body = b"" if full else b"for " + request.id.encode()
-    status = b"503 Full\r\nX-Never-Ran: 1" if full else b"200 OK"
-    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+def mix(value):
+    value &= MASK
+    mixed = ((value ^ (value >> 32)) * 0x9E3779B97F4A7C15) & MASK
+    mixed = (((mixed ^ (mixed >> 29)) * 0xBF58476D1CE4E5B9) & MASK) ^ (mixed >> 32)
+    return mixed - (1 << 64) if mixed >> 63 else mixed
+
+
+def keeper(customer):
+    """The first of the two gateways that keep the customer's quota, as the gateways reckon it (RendezvousHash)."""
+    return min((0, 1), key=lambda gateway: mix(customer * 31 + mix(gateway)))
 
 
 def play(deployment):
-    rnd = random.Random(SEED)
     record = deployment.record
-    ran = {}  # id -> hosts that ran it
-    lock = threading.Lock()
-
-    def second_copy(request, answer):
-        try:
-            request.sock.sendall(answer)
-            record.write("host %s sends a second copy of its answer to %s" % (request.host.id, request.id))
-        except OSError:
-            pass  # the gateway has closed the connection
-
-    def handle(request):
-        full = rnd.random() < FULL_SHARE
-        if not full:
-            with lock:
-                ran.setdefault(request.id, []).append(request.host.id)
-        answer = whole_answer(request, full)
-        record.write("host %s answers %s with %s" % (request.host.id, request.id, "503" if full else "200"))
-        request.sock.sendall(answer)
-        if TROUBLE and rnd.random() < SPOILT_SHARE:
-            threading.Timer(LATE_S, second_copy, (request, answer)).start()
-
-    hosts = [deployment.host("h%d" % i, handle) for i in range(3)]
+    hosts = [deployment.host("h%d" % i, lambda request: request.answer(200, b"for " + request.id.encode()))
+             for i in range(2)]
     discovery = deployment.discovery(hosts)
-    gateway = deployment.gateway(deployment.configuration(discovery, classes(("order", "once", 5000))))
-    gateway.await_ready()
-    broken = []
-
-    def client(number):
-        connection = Client(gateway.port)
-        for i in range(REQUESTS):
-            ident = "r%d-%d" % (number, i)
-            connection.send(request_bytes(ident, "/order/x", EXPIRES_MS, "POST", b"x"))
-            answer = connection.receive()
-            if answer is None:
-                record.write("client %d got no answer to %s" % (number, ident))
-                connection.close()
-                connection = Client(gateway.port)
-                continue
-            record.write("client %d got %d %r for %s" % (number, answer.status, answer.body, ident))
-            if answer.status == 200 and answer.body != b"for " + ident.encode():
-                broken.append("the client of %s was served %r" % (ident, answer.body))
-            time.sleep(rnd.uniform(0, THINK_S))
-        connection.close()
-
-    threads = [threading.Thread(target=client, args=(k,), daemon=True) for k in range(CLIENTS)]
-    for thread in threads:
+    peers = ["%s:%d" % (LOOPBACK, free_port()) for _ in range(2)]
+    request_classes = classes(("quick", "repeatable", QUICK_MS), ("view", "repeatable", VIEW_MS))
+    gateways = [
+        deployment.gateway(deployment.configuration(
+            discovery, request_classes, plans=[plan(units_per_s=50, depth=100)], ordinal=i, balancers=2, peers=peers,
+            name="n%d" % i))
+        for i in range(2)
+    ]
+    for gateway in gateways:
+        gateway.await_ready()
+    time.sleep(1)
+    first = gateways[0]
+    of_peer = iter([c for c in range(1, 5000) if keeper(c) == 1])
+    of_first = iter([c for c in range(5000, 9000) if keeper(c) == 0])
+
+    def ask(client, ident, path, expires_ms, customer):
+        begun = now_ms()
+        client.send(request_bytes(ident, path, expires_ms, customer=customer, spread=2))
+        answer = client.receive()
+        record.write("client got %s for %s after %d ms" % (answer and answer.status, ident, now_ms() - begun))
+        return answer and answer.status
+
+    gateways[1].process.kill()
+    gateways[1].process.wait()
+    record.write("gateway n1 was killed outright; it stays down")
+
+    for burst in range(BURSTS):
+        clients = [Client(first.port) for _ in range(BURST_REQUESTS)]
+        time.sleep(0.3)
+        statuses = []
+        threads = [
+            threading.Thread(target=lambda c=client, i="b%d-%d" % (burst, k), n=next(of_peer): statuses.append(
+                ask(c, i, "/quick/x", QUICK_MS, n)), daemon=True)
+            for k, client in enumerate(clients)
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.02)
+        if TROUBLE:
+            first.signal(signal.SIGSTOP)
+            time.sleep(HELD_UP_S)
+            first.signal(signal.SIGCONT)
+            record.write("gateway n0 was held up for %.2f s" % HELD_UP_S)
+        for thread in threads:
+            thread.join()
+        for client in clients:
+            client.close()
+        record.say("burst %d: %s" % (burst, {s: statuses.count(s) for s in sorted(set(statuses), key=str)}))
+        time.sleep(REST_S)
+
+    statuses = []
+    runs_before = sum(len(host.runs) for host in hosts)
+    begun = time.monotonic()
+
+    def ask_afterwards(k):
+        client = Client(first.port)
+        statuses.append(ask(client, "a%d" % k, "/view/x", VIEW_MS, next(of_first)))
+        client.close()
+
+    threads = []
+    while time.monotonic() - begun < AFTERWARDS_S:
+        thread = threading.Thread(target=ask_afterwards, args=(len(threads),), daemon=True)
         thread.start()
+        threads.append(thread)
+        time.sleep(0.2)
     for thread in threads:
         thread.join()
-    for ident, where in ran.items():
-        if len(where) > 1:
-            broken.append("%s, which must never run twice, ran at %s" % (ident, ", ".join(where)))
-    return broken
+    rejected = sum(status in (429, 503) for status in statuses)
+    attempts = sum(len(host.runs) for host in hosts) - runs_before
+    record.say("afterwards, nothing being wrong any more: %d requests in %.0f s, %d rejected, %d attempts at hosts"
+               % (len(statuses), AFTERWARDS_S, rejected, attempts))
+    rejects_all = AFTERWARDS_S > REJECTS_ALL_S and rejected >= REJECTED_MIN and rejected == len(statuses)
+    return ["n0 rejects all that it gets, with no attempt"] if rejects_all and attempts == 0 else []
 
 
 run_case(__file__, play)
