Let the tests' scripted server take bursts of 1,024 connections

Cause: ScriptedServer listened with a backlog of 50, while HostilePeersTest opens up to 150 connections to it at once; those that did not fit were reset, and the gateway rightly rejected their requests, so that bodiesInSmallPiecesAreAllServed failed now and then.

Change: a backlog of 1,024. No check or bound moves.

--- a/src/test/java/caperrudder/server/ScriptedServer.java
+++ b/src/test/java/caperrudder/server/ScriptedServer.java
@@ -13,7 +13,7 @@
 
 /** A server on a port of the system's choice that notes its requests and answers by script. */
 public class ScriptedServer implements Closeable {
-    private static final int BACKLOG = 50;
+    private static final int BACKLOG = 1024;
 
     /** What the server does with a request; it may keep the socket, write to it or close it. */
     public interface Script {
