Compute the policy's decays with StrictMath, the same on every processor

Cause: Math.exp and Math.pow may differ in the last bit from one processor to another, and the digests were recorded on x86-64. They are the only functions of that kind in the policy.

Change: StrictMath in the four classes that use them.

Result: SnapshotDecisionsTest passes.

--- a/src/main/java/caperrudder/policy/loadbalancing/OutlierScore.java
+++ b/src/main/java/caperrudder/policy/loadbalancing/OutlierScore.java
@@ -25,7 +25,7 @@
     double latencyPenalty(double now) {
         return latencyPenalty == 1
                 ? 1
-                : 1 + (latencyPenalty - 1) * Math.exp(-(now - updatedAtMs) / DECAY_TIME_CONSTANT_MS);
+                : 1 + (latencyPenalty - 1) * StrictMath.exp(-(now - updatedAtMs) / DECAY_TIME_CONSTANT_MS);
     }
 
     /** Records an observed penalty. {@code gain} is its weight, from 0 (none) to 1 (replaces the penalty). */
--- a/src/main/java/caperrudder/policy/quota/DemandEstimate.java
+++ b/src/main/java/caperrudder/policy/quota/DemandEstimate.java
@@ -19,7 +19,7 @@
 
     /** Returns the factor, 0 to 1, by which an average decays over an interval in which nothing is added. */
     public static double decayFactor(double elapsedMs) {
-        return Math.exp(-elapsedMs / TIME_CONSTANT_MS);
+        return StrictMath.exp(-elapsedMs / TIME_CONSTANT_MS);
     }
 
     /** Returns the increase of an average, in units per second, when {@code units} are used or requested at once. */
--- a/src/main/java/caperrudder/policy/quota/ExpectedValueAdmission.java
+++ b/src/main/java/caperrudder/policy/quota/ExpectedValueAdmission.java
@@ -81,7 +81,7 @@
             double delayCostShare,
             double figureAgeMs,
             double useMultiple) {
-        double figureWeight = Math.exp(-figureAgeMs / figureDecayMs);
+        double figureWeight = StrictMath.exp(-figureAgeMs / figureDecayMs);
         double probability =
                 figureWeight * probabilityAtUse(useMultiple) + (1 - figureWeight) * unknownProbability(now, units);
         double netExcessCost = plan.overQuotaCostRatio() - plan.overQuotaValueShare();
@@ -95,7 +95,7 @@
     }
 
     private double decayedProbability(double now) {
-        return overQuotaProbability * Math.exp(-(now - learnedAt) / ESTIMATE_DECAY_MS);
+        return overQuotaProbability * StrictMath.exp(-(now - learnedAt) / ESTIMATE_DECAY_MS);
     }
 
     /**
@@ -120,7 +120,7 @@
      */
     private double concurrencyProbabilityAtUse(double useMultiple) {
         double mean = useMultiple * plan.concurrencyLimit() / PEAK_TO_MEAN_RATIO;
-        double term = Math.exp(-mean);
+        double term = StrictMath.exp(-mean);
         double belowLimit = 0;
         for (int open = 0; open < plan.concurrencyLimit(); open++) {
             belowLimit += term;
--- a/src/main/java/caperrudder/policy/scheduling/ResponseTimeHistogram.java
+++ b/src/main/java/caperrudder/policy/scheduling/ResponseTimeHistogram.java
@@ -34,7 +34,7 @@
     }
 
     private static double upperBound(int bucket) {
-        return FIRST_UPPER_BOUND * Math.pow(UPPER_BOUND_RATIO, bucket);
+        return FIRST_UPPER_BOUND * StrictMath.pow(UPPER_BOUND_RATIO, bucket);
     }
 
     /**
