Give back what a request holds once, also where its server has ended it

Cause: a stall moved the reply deadline of a request that waits for its quota's owner past the request's own deadline (PendingDecisions.extendReplyDeadlines). There RequestDispatcher answered 504, forgot the request and did not notify the policy, which admitted and sent it some ms later. RequestDispatcher.send found no such request and returned, so that the attempt's slot was never given back.

Evidence: app_policy_requests and app_policy_slots, new here, stood at 4 and at 4 of 3 with no request open.

Change: the server notifies the policy of each request that it ends by itself (PolicyEvents.requestTerminated), and of one that the policy sends and it does not know. RequestReservation owns the units, the open request and the retry token, and gives each back once. A reply is awaited no longer than its request may wait. A retry that is not sent gives its token back. An upload whose time is up is not sent again.

--- a/src/main/java/caperrudder/api/PolicyEvents.java
+++ b/src/main/java/caperrudder/api/PolicyEvents.java
@@ -43,6 +43,12 @@
     /** The client has disconnected, so its request needs no response any more. */
     void clientDisconnected(double now, String id);
 
+    /**
+     * The server has answered a request by itself, because its time is up or the gateway stops. The ends of all attempts
+     * that the server has sent of it were reported before, and no other event of the request follows.
+     */
+    default void requestTerminated(double now, String id) {}
+
     /** A timer has fired; {@code token} is the one that it was started with. */
     void timerFired(double now, String token);
 
@@ -71,6 +77,11 @@
      */
     void restoreSnapshot(double now, PolicySnapshot snapshot);
 
+    /** Returns what the policy holds for requests. Changes no state and takes no action. */
+    default PolicyLoad load() {
+        return PolicyLoad.NONE;
+    }
+
     /** Returns the number of known and of avoided hosts. Changes no state and takes no action. */
     ClusterHealth clusterHealth(double now);
 
--- a/src/main/java/caperrudder/policy/AttemptDispatcher.java
+++ b/src/main/java/caperrudder/policy/AttemptDispatcher.java
@@ -48,6 +48,7 @@
         boolean isFirst = !request.hasAttempts();
         Attempt attempt = request.addAttempt(endpoint, now);
         if (isFirst) recordFirstAttempt(now, request);
+        else request.reservation().useRetryToken();
         loadBalancer.attemptSent(endpoint);
         if (!request.isBodyPending()) outstanding.startWork(now, attempt);
         actions.sendAttempt(request.id(), endpoint.id(), NO_TIMEOUT);
@@ -56,6 +57,6 @@
     private void recordFirstAttempt(double now, PendingRequest request) {
         retries.recordFirstAttempt();
         request.trafficClass().recordQueueDelay(now - request.arrivedAt());
-        if (request.quota() != null) request.quota().requestSent(request.units());
+        request.reservation().markSent();
     }
 }
--- a/src/main/java/caperrudder/policy/AttemptLifecycle.java
+++ b/src/main/java/caperrudder/policy/AttemptLifecycle.java
@@ -66,9 +66,23 @@
         requests.dispatch(now);
     }
 
+    /**
+     * Handles the end of a request that the server has ended by itself: releases what it still holds. Those of its
+     * attempts that are open here were never sent, as the server has reported the ends of all others.
+     */
+    void requestTerminated(double now, PendingRequest request) {
+        for (Attempt attempt : request.attempts()) {
+            if (!attempt.isOpen()) continue;
+            attempt.recordOutcome(Outcome.NOT_SENT);
+            outstanding.endWork(attempt);
+        }
+        requests.close(request);
+        requests.dispatch(now);
+    }
+
     private void retryOrAnswer(double now, PendingRequest request, Outcome outcome) {
-        // If nothing was sent the request is not retried, even though tryAcquireRetry has spent a token of the budget.
-        boolean shouldRetry = retries.tryAcquireRetry(now, request) && outcome != Outcome.NOT_SENT;
+        // If nothing was sent the request is not retried.
+        boolean shouldRetry = outcome != Outcome.NOT_SENT && retries.tryAcquireRetry(now, request);
         if (shouldRetry) requests.retry(request);
         else requests.answerUnserved(request);
     }
--- a/src/main/java/caperrudder/policy/PendingRequest.java
+++ b/src/main/java/caperrudder/policy/PendingRequest.java
@@ -20,6 +20,7 @@
     private final Request request;
     private final TrafficClass trafficClass;
     private final CustomerQuota quota;
+    private final RequestReservation reservation;
     private final List<Attempt> attempts = new ArrayList<>(TYPICAL_ATTEMPTS);
     private double arrivedAt;
     private double deadline;
@@ -35,6 +36,7 @@
         this.request = request;
         this.trafficClass = trafficClass;
         this.quota = quota;
+        this.reservation = new RequestReservation(quota, request.units());
         this.arrivedAt = request.arrivedAtMs();
         this.deadline = request.deadlineAtMs();
         this.bodyPending = request.bodyPending();
@@ -79,6 +81,11 @@
         return quota;
     }
 
+    /** Returns what the request holds of its quota and of the retry budget. */
+    RequestReservation reservation() {
+        return reservation;
+    }
+
     /** Returns the decision that is pending at an owner of the quota, or null if no owner was asked. */
     PendingDecision pendingDecision() {
         return pendingDecision;
--- a/src/main/java/caperrudder/policy/PendingRequests.java
+++ b/src/main/java/caperrudder/policy/PendingRequests.java
@@ -14,6 +14,11 @@
         return byId.isEmpty();
     }
 
+    /** Returns the number of pending requests. */
+    int size() {
+        return byId.size();
+    }
+
     /** Returns the request of this id, or null if it is not pending, as events may arrive for one that has ended. */
     PendingRequest find(String id) {
         return byId.get(id);
--- a/src/main/java/caperrudder/policy/RequestAdmission.java
+++ b/src/main/java/caperrudder/policy/RequestAdmission.java
@@ -99,6 +99,7 @@
 
         @Override
         public void onDecision(double now, boolean admitted) {
+            if (isDecided()) return;
             if (admitted) requests.admit(now, request);
             else requests.reject(now, request);
         }
--- a/src/main/java/caperrudder/policy/RequestLifecycle.java
+++ b/src/main/java/caperrudder/policy/RequestLifecycle.java
@@ -47,11 +47,13 @@
         this.lateRequestShare = lateRequestShare;
     }
 
-    /** Admits a request: charges its quota and appends it to the queue of its class. */
+    /**
+     * Admits a request: charges its quota and appends it to the queue of its class. Does nothing if the request was
+     * admitted or has ended before.
+     */
     void admit(double now, PendingRequest request) {
+        if (!request.reservation().reserve(now, request.expectedWorkMs())) return;
         request.markAdmitted();
-        CustomerQuota quota = request.quota();
-        if (quota != null) quota.requestAdmitted(now, request.units(), request.expectedWorkMs());
         scheduler.enqueue(request);
         dispatch(now);
         // A request that would expire in the queue is answered at once (rule 1).
@@ -123,15 +125,8 @@
         if (request.isClosed()) return;
         request.markClosed();
         scheduler.remove(request);
-        if (request.quota() != null) closeQuota(request);
-    }
-
-    private void closeQuota(PendingRequest request) {
         if (request.pendingDecision() != null) gossip.withdraw(request.pendingDecision());
-        if (!request.isAdmitted()) return;
-        request.quota().requestClosed();
-        boolean sentCompletely = request.hasAttempts() && !request.isBodyPending();
-        if (!sentCompletely) request.quota().refund(request.units());
+        request.reservation().release(request.hasAttempts() && !request.isBodyPending());
     }
 
     /** Removes a request if it is closed and all of its attempts have ended. */
--- a/src/main/java/caperrudder/policy/RetryPolicy.java
+++ b/src/main/java/caperrudder/policy/RetryPolicy.java
@@ -27,7 +27,10 @@
                 || safety.isRepeatable(now, request.trafficClass().requestClass(), firstThatMayHaveRun.sentAt());
     }
 
-    /** Whether a request whose attempts have ended may be sent again; if so, spends a token of the retry budget. */
+    /**
+     * Whether a request whose attempts have ended may be sent again; if so, its reservation takes a token of the retry
+     * budget.
+     */
     boolean tryAcquireRetry(double now, PendingRequest request) {
         boolean allowed = isRepeatable(now, request)
                 && !request.isResponding()
@@ -35,7 +38,7 @@
                 && now < RequestExpiry.expiresAt(request)
                 && budget.hasToken()
                 && request.attempts().size() < limits.maxAttempts();
-        if (allowed) budget.spend();
+        if (allowed) request.reservation().takeRetryToken(budget);
         return allowed;
     }
 
--- a/src/main/java/caperrudder/policy/TrafficPolicy.java
+++ b/src/main/java/caperrudder/policy/TrafficPolicy.java
@@ -6,6 +6,7 @@
 import caperrudder.api.HostListKind;
 import caperrudder.api.PolicyActions;
 import caperrudder.api.PolicyEvents;
+import caperrudder.api.PolicyLoad;
 import caperrudder.api.PolicySnapshot;
 import caperrudder.api.QuotaSnapshot;
 import caperrudder.api.Request;
@@ -146,6 +147,12 @@
         if (request != null) requests.clientDisconnected(request);
     }
 
+    @Override
+    public void requestTerminated(double now, String id) {
+        PendingRequest request = pending.find(id);
+        if (request != null) attempts.requestTerminated(now, request);
+    }
+
     @Override
     public void timerFired(double now, String token) {
         if (token.equals(SUBSCRIBE_TOKEN)) actions.subscribeToHosts();
@@ -187,6 +194,11 @@
         return loadBalancer.clusterHealth(now);
     }
 
+    @Override
+    public PolicyLoad load() {
+        return new PolicyLoad(pending.size(), limit.inUse(), (int) limit.slots(loadBalancer.healthyCapacity()));
+    }
+
     @Override
     public PolicySnapshot takeSnapshot(double now) {
         return new PolicySnapshot(
--- a/src/main/java/caperrudder/policy/gossip/PendingDecision.java
+++ b/src/main/java/caperrudder/policy/gossip/PendingDecision.java
@@ -71,6 +71,11 @@
         return now >= replyDueAtMs;
     }
 
+    /** Returns whether the reply can be awaited no longer: it is overdue, or the request must be decided now. */
+    boolean isWaitOver(double now) {
+        return isReplyOverdue(now) || now >= request.decisionDueAtMs();
+    }
+
     /** Postpones the reply deadline by {@code ms} milliseconds. */
     void extendReplyDeadline(double ms) {
         replyDueAtMs += ms;
--- a/src/main/java/caperrudder/policy/gossip/PendingDecisions.java
+++ b/src/main/java/caperrudder/policy/gossip/PendingDecisions.java
@@ -89,16 +89,19 @@
     }
 
     /**
-     * Asks the next owner about each decision whose reply is overdue. The owner that did not reply counts as
-     * unresponsive for a while. There are no heartbeats, so only an overdue reply shows that an owner may have failed.
+     * Asks the next owner about each decision whose reply is overdue, and decides locally what can wait no longer. The
+     * owner that did not reply counts as unresponsive for a while. There are no heartbeats, so only an overdue reply
+     * shows that an owner may have failed.
      */
     void handleOverdueReplies(double now) {
         awaitingReply.removeIf(decision -> decision.request().isDecided());
         for (PendingDecision decision : awaitingReply.stream()
-                .filter(pending -> pending.isReplyOverdue(now))
+                .filter(pending -> pending.isWaitOver(now))
                 .toList()) {
             awaitingReply.remove(decision);
-            peers.get(decision.owner()).markUnresponsiveUntil(now + UNRESPONSIVE_MS);
+            if (decision.isReplyOverdue(now)) {
+                peers.get(decision.owner()).markUnresponsiveUntil(now + UNRESPONSIVE_MS);
+            }
             quotas.refill(now, decision.quota());
             askNextOwner(now, decision);
         }
--- a/src/main/java/caperrudder/policy/gossip/UndecidedRequest.java
+++ b/src/main/java/caperrudder/policy/gossip/UndecidedRequest.java
@@ -14,6 +14,6 @@
     /** Returns whether the request was already admitted or has ended, so that it needs no decision. */
     boolean isDecided();
 
-    /** Handles the decision. Called at most once. */
+    /** Handles the decision; ignores it if the request needs none any more. */
     void onDecision(double now, boolean admitted);
 }
--- a/src/main/java/caperrudder/policy/retry/RetryBudget.java
+++ b/src/main/java/caperrudder/policy/retry/RetryBudget.java
@@ -27,4 +27,9 @@
     public void spend() {
         tokens -= 1;
     }
+
+    /** Gives back the token of a retry that was not sent. */
+    public void refund() {
+        tokens = Math.min(MAX_TOKENS, tokens + 1);
+    }
 }
--- a/src/main/java/caperrudder/server/GatewayServer.java
+++ b/src/main/java/caperrudder/server/GatewayServer.java
@@ -5,6 +5,7 @@
 import caperrudder.api.HostListKind;
 import caperrudder.api.PolicyActions;
 import caperrudder.api.PolicyEvents;
+import caperrudder.api.PolicyLoad;
 import caperrudder.api.PolicySnapshot;
 import caperrudder.api.Settings;
 import caperrudder.policy.TrafficPolicy;
@@ -104,6 +105,7 @@
                 0,
                 0,
                 new ClusterHealth(0, 0),
+                PolicyLoad.NONE,
                 0,
                 0,
                 eventLoop.protections().counts());
@@ -243,6 +245,7 @@
                 counters.sends(),
                 dispatcher.waitingRequests(),
                 policy.clusterHealth(),
+                policy.load(),
                 headMemory.heldBytes(),
                 eventLoop.budget().heldBytes(),
                 eventLoop.protections().counts());
@@ -252,6 +255,10 @@
         return dispatcher;
     }
 
+    PolicyEventQueue policyEvents() {
+        return policy;
+    }
+
     RequestCounters counters() {
         return counters;
     }
--- a/src/main/java/caperrudder/server/OpenRequest.java
+++ b/src/main/java/caperrudder/server/OpenRequest.java
@@ -106,6 +106,11 @@
         return Math.max(body.unfinishedAtMs(), request.arrivedAtMs()) + request.deadlineAtMs() - request.arrivedAtMs();
     }
 
+    /** By when the request must be answered, as far as is known now. */
+    double answerDueAtMs() {
+        return isComplete() ? deadlineAtMs : uploadDeadlineAtMs();
+    }
+
     /** The client's time begins now that all has come. */
     void startTime(double nowMs) {
         deadlineAtMs = nowMs + request.deadlineAtMs() - request.arrivedAtMs();
--- a/src/main/java/caperrudder/server/PolicyEventQueue.java
+++ b/src/main/java/caperrudder/server/PolicyEventQueue.java
@@ -2,6 +2,7 @@
 
 import caperrudder.api.ClusterHealth;
 import caperrudder.api.PolicyEvents;
+import caperrudder.api.PolicyLoad;
 import caperrudder.api.PolicySnapshot;
 import caperrudder.server.runtime.Clock;
 import caperrudder.server.runtime.FatalErrorHandler;
@@ -69,6 +70,11 @@
         return policy.clusterHealth(clock.now());
     }
 
+    /** What the policy holds for requests now. */
+    PolicyLoad load() {
+        return policy.load();
+    }
+
     /** What the next process of this gateway is to know. */
     PolicySnapshot takeSnapshot() {
         return policy.takeSnapshot(clock.now());
--- a/src/main/java/caperrudder/server/RequestDispatcher.java
+++ b/src/main/java/caperrudder/server/RequestDispatcher.java
@@ -180,10 +180,19 @@
         endAttempts(request); // a short response that goes on and on is none: its client sees that it is not whole
         if (!request.isClosed()) {
             LOG.error("no decision before the deadline, request failed");
-            answer(request, RequestCounters.End.ERRORED, HttpResponseStatus.GATEWAY_TIMEOUT, NO_RETRY_AFTER);
+            terminate(request, HttpResponseStatus.GATEWAY_TIMEOUT);
         }
     }
 
+    /**
+     * Fails a request without attempts that the policy has not answered, and notifies the policy that it is over: else
+     * the policy would send it later, and wait for the end of an attempt that is none.
+     */
+    private void terminate(OpenRequest request, HttpResponseStatus status) {
+        answer(request, RequestCounters.End.ERRORED, status, NO_RETRY_AFTER);
+        policy.post((now, p) -> p.requestTerminated(now, request.id()));
+    }
+
     private void endAttempts(OpenRequest request) {
         for (UpstreamAttempt attempt : request.attemptsUpToNow()) {
             if (!attempt.hasEnded()) {
@@ -295,6 +304,8 @@
     void send(String id, String host, double timeoutMs) {
         OpenRequest request = open.get(id);
         if (request == null) {
+            LOG.error("attempt of a request that is over");
+            policy.post((now, p) -> p.requestTerminated(now, id));
             return;
         }
         double now = now();
@@ -316,7 +327,7 @@
         OpenRequest request = attempt.request();
         return !sendingStopped
                 && !request.isClosed()
-                && (!request.isComplete() || nowMs < request.deadlineAtMs())
+                && nowMs < request.answerDueAtMs()
                 && attempt.number() < maxAttempts;
     }
 
@@ -366,7 +377,7 @@
         }
         for (OpenRequest request : List.copyOf(open.values())) {
             if (!request.isClosed() && request.streaming() == null) { // still held
-                answer(request, RequestCounters.End.ERRORED, HttpResponseStatus.BAD_GATEWAY, NO_RETRY_AFTER);
+                terminate(request, HttpResponseStatus.BAD_GATEWAY);
             }
         }
     }
--- a/src/main/java/caperrudder/server/admin/MetricsSnapshot.java
+++ b/src/main/java/caperrudder/server/admin/MetricsSnapshot.java
@@ -1,6 +1,7 @@
 package caperrudder.server.admin;
 
 import caperrudder.api.ClusterHealth;
+import caperrudder.api.PolicyLoad;
 import caperrudder.server.runtime.ProtectionCounters.Reason;
 import java.util.List;
 import java.util.Locale;
@@ -14,6 +15,7 @@
  * @param attemptsSent attempts that were written whole to hosts
  * @param openRequests requests that came whole and have not ended
  * @param cluster the hosts that are listed
+ * @param policyLoad what the policy holds for requests
  * @param headBytes what the heads of requests hold
  * @param bufferBytes what the buffers of connections to clients and hosts hold
  * @param protections what was refused or closed, by reason
@@ -23,6 +25,7 @@
         long attemptsSent,
         long openRequests,
         ClusterHealth cluster,
+        PolicyLoad policyLoad,
         long headBytes,
         long bufferBytes,
         Map<Reason, Long> protections) {
@@ -54,6 +57,11 @@
         appendValue(text, "app_cluster_size", cluster.hostCount());
         appendHeader(text, "app_cluster_unhealthy", "gauge", "Listed hosts that are avoided now.");
         appendValue(text, "app_cluster_unhealthy", cluster.unhealthyHostCount());
+        appendHeader(text, "app_policy_requests", "gauge", "Requests that the policy holds.");
+        appendValue(text, "app_policy_requests", policyLoad.pendingRequests());
+        appendHeader(text, "app_policy_slots", "gauge", "Slots of the concurrency limit.");
+        appendValue(text, "app_policy_slots{state=\"used\"}", policyLoad.slotsInUse());
+        appendValue(text, "app_policy_slots{state=\"all\"}", policyLoad.slots());
         appendHeader(text, "app_held_bytes", "gauge", "Memory that messages hold.");
         appendValue(text, "app_held_bytes{kind=\"heads\"}", headBytes);
         appendValue(text, "app_held_bytes{kind=\"buffers\"}", bufferBytes);
