Count a response as done only once the kernel has taken all of it

Cause: ClientConnection.finish queued the end of a response and put the connection among the idle ones.

Change: WriteProgress tells when the kernel has taken what was written; only then does a connection rest, and only then is its output ended.

--- a/src/main/java/caperrudder/server/downstream/ClientConnection.java
+++ b/src/main/java/caperrudder/server/downstream/ClientConnection.java
@@ -6,9 +6,7 @@
 import caperrudder.server.runtime.FatalErrorHandler;
 import caperrudder.server.runtime.ProtectionCounters.Reason;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -41,15 +39,13 @@
     private double idleSinceMs;
     private int messages; // that came whole, of whatever kind
     private int requests; // those of them that were handed over
-    private boolean spared; // it was to be closed while it had yet to take its last response
 
     ClientConnection(Channel channel, ConnectionContext context) {
         this.channel = channel;
         this.context = context;
         this.idleSinceMs = context.eventLoop().clock().now();
         this.inbound = new InboundRequests(channel, context.eventLoop(), context.headMemory());
-        this.replies = new ReplyWriter(
-                channel, context.eventLoop().clock(), context.eventLoop().budget());
+        this.replies = new ReplyWriter(channel, idleSinceMs, context.eventLoop().budget());
     }
 
     void addTo(ChannelPipeline pipeline) {
@@ -86,27 +82,21 @@
         int messagesBefore = messages;
         long readsBefore = inbound.reads();
         inbound.readSocketUnlessPaused();
-        boolean evictable = messages == messagesBefore
+        return messages == messagesBefore
                 && inbound.reads() == readsBefore
                 && (forced || !inbound.isInsideRequest())
-                && (spared || !isOwed());
-        spared |= isOwed();
-        return evictable;
+                && !isOwed();
     }
 
-    void closeOnceTaken() {
-        if (!busy && !ended && replies.isPending() && !inbound.isHolding() && !inbound.isInsideRequest()) {
-            ended = true;
-            context.eviction().exempt(this);
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> closeGently());
-        }
-    }
-
-    /** Closes it as soon as the client has taken what was written; nothing more is read of it. */
+    /** Closes it as soon as the kernel has taken what was written; nothing more is read of it. */
     void closeGently() {
         ended = true;
         inbound.forgetUpload();
         context.eviction().exempt(this);
+        replies.whenTaken(this::endOutput); // which would drop what waits
+    }
+
+    private void endOutput() {
         if (LingeringClose.isPossible(channel)) {
             context.eviction().lingers(this);
             LingeringClose.begin(channel, inbound);
@@ -137,7 +127,7 @@
 
     /** Takes its place among those that may give way, behind the others of its kind. */
     void rest() {
-        if (!busy && !ended && !inbound.isUploading()) {
+        if (!busy && !ended && !inbound.isUploading() && !replies.isPending()) {
             idleSinceMs = context.eventLoop().clock().now();
             context.eviction().idle(this, requests > USED_ONCE);
         }
@@ -162,8 +152,11 @@
 
     /** Whether for too long no request has come on a connection that owes one, or none of a response was taken. */
     boolean isOverdue(double nowMs) {
+        if (replies.isStalled(nowMs)) {
+            return true;
+        }
         if (replies.isStreaming()) {
-            return replies.isStalled(nowMs);
+            return false;
         }
         boolean owesRequest = inbound.isUploading() || (!busy && !ended);
         boolean silent = messages == 0 && !busy && nowMs - idleSinceMs > SILENT_MS;
@@ -172,11 +165,12 @@
 
     void timeOut() {
         inbound.readSocketUnlessPaused(); // it may have come while this loop was busy
-        if (!isOverdue(context.eventLoop().clock().now())) {
+        double now = context.eventLoop().clock().now();
+        if (!isOverdue(now)) {
             return;
         }
         keepAlive = false;
-        if (replies.isStreaming()) {
+        if (replies.isStalled(now)) {
             context.count(Reason.STALLED_RESPONSE);
             breakOff();
         } else if (inbound.isUploading() && !busy) { // it was answered, and only its rest did not come
@@ -374,20 +368,26 @@
     private void finish(HttpObject end, boolean last) {
         current = null;
         busy = false;
-        spared = false;
         ended = last;
         inbound.discardUpload();
+        channel.writeAndFlush(end, channel.voidPromise());
+        replies.whenTaken(this::responseTaken);
+        if (!ended && inbound.isWaiting()) { // not at once: a response may be given while the request is being taken
+            context.eventLoop().loop().execute(this::handleNext);
+        }
+    }
+
+    /** The kernel has taken a whole response. Only now may the connection end, or count as idle. */
+    private void responseTaken() {
         if (ended) {
-            ChannelFuture written = channel.writeAndFlush(end);
             if (!inbound.isUploading()) {
-                written.addListener(f -> closeGently());
+                closeGently();
             }
             return;
         }
-        channel.writeAndFlush(end, channel.voidPromise());
         rest();
-        if (inbound.isWaiting()) { // not at once: a response may be given while the request is being taken
-            context.eventLoop().loop().execute(this::handleNext);
+        if (context.drain().isClosingConnections()) {
+            context.eviction().closeIfIdle(this);
         }
     }
 
--- a/src/main/java/caperrudder/server/downstream/ConnectionEviction.java
+++ b/src/main/java/caperrudder/server/downstream/ConnectionEviction.java
@@ -106,13 +106,19 @@
         }
     }
 
-    /** Ends every connection on which nothing is asked, once it has taken its last response. */
+    /** Ends every connection on which nothing is asked, and whose last response the kernel has taken. */
     void closeIdle() {
         for (LinkedHashSet<ClientConnection> from : order) {
-            for (ClientConnection connection : List.copyOf(from)) {
-                if (!evict(connection, from, false)) {
-                    connection.closeOnceTaken();
-                }
+            List.copyOf(from).forEach(connection -> evict(connection, from, false));
+        }
+    }
+
+    /** Ends this connection if nothing is asked on it. */
+    void closeIfIdle(ClientConnection connection) {
+        for (LinkedHashSet<ClientConnection> from : order) {
+            if (from.contains(connection)) {
+                evict(connection, from, false);
+                return;
             }
         }
     }
--- a/src/main/java/caperrudder/server/downstream/ReplyWriter.java
+++ b/src/main/java/caperrudder/server/downstream/ReplyWriter.java
@@ -3,11 +3,9 @@
 import caperrudder.server.http.HeaderValues;
 import caperrudder.server.http.PartQueue;
 import caperrudder.server.runtime.BufferBudget;
-import caperrudder.server.runtime.Clock;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -26,25 +24,23 @@
  * takes them, so that what waits here stays within a window of the budget.
  */
 final class ReplyWriter {
-    private static final double STALLED_MS = 20_000; // in which a client takes nothing of a response on its way
     private static final double MS_PER_SECOND = 1000;
 
     /** What may wait to be written of a stream; the parts behind it wait here, where small ones share buffers. */
     private static final WriteBufferWaterMark UNWRITTEN = new WriteBufferWaterMark(2 * 1024, 4 * 1024);
 
     private final Channel channel;
-    private final Clock clock;
     private final BufferBudget budget;
+    private final WriteProgress progress;
     private final PartQueue unwritten = new PartQueue();
     private ResponseSource source; // of the response on its way; null between them
     private boolean closing; // the response on its way is the connection's last
     private boolean endedByClose; // and only the connection's end tells that it is whole
-    private double takenAtMs; // when the client last took some of it
 
-    ReplyWriter(Channel channel, Clock clock, BufferBudget budget) {
+    ReplyWriter(Channel channel, double nowMs, BufferBudget budget) {
         this.channel = channel;
-        this.clock = clock;
         this.budget = budget;
+        this.progress = new WriteProgress(channel, nowMs);
     }
 
     // ---- responses that are whole
@@ -114,7 +110,6 @@
         }
         source = parts;
         channel.config().setWriteBufferWaterMark(UNWRITTEN);
-        takenAtMs = clock.now();
         channel.write(to, channel.voidPromise());
     }
 
@@ -160,10 +155,9 @@
         return source != null;
     }
 
-    /** Whether something written still waits to be taken by the client. */
+    /** Whether the kernel has not taken all of what the client is to get. */
     boolean isPending() {
-        ChannelOutboundBuffer pending = channel.isActive() ? channel.unsafe().outboundBuffer() : null;
-        return !unwritten.isEmpty() || (pending != null && pending.totalPendingWriteBytes() > 0);
+        return !unwritten.isEmpty() || progress.isPending();
     }
 
     /** Whether the response that is or was last on its way is the connection's last. */
@@ -180,15 +174,18 @@
         channel.close();
     }
 
-    /** Whether the client has taken nothing of the response on its way for too long. */
+    /** Runs the action once the kernel has taken all that was written, or the connection has ended. */
+    void whenTaken(Runnable action) {
+        progress.whenTaken(action);
+    }
+
+    /** Whether the client has taken nothing for too long of what it is to get; to be asked several times a second. */
     boolean isStalled(double nowMs) {
-        takenAtMs = channel.isWritable() ? nowMs : takenAtMs;
-        return nowMs - takenAtMs > STALLED_MS;
+        return progress.isStalled(nowMs);
     }
 
     void writabilityChanged() {
         if (source != null) {
-            takenAtMs = clock.now();
             writeWhileTaken();
         }
     }
--- a/src/main/java/caperrudder/server/runtime/Transport.java
+++ b/src/main/java/caperrudder/server/runtime/Transport.java
@@ -90,6 +90,13 @@
                 : listener.close();
     }
 
+    /** Writes what the kernel can take now, before it reports room; in memory nothing waits to be written. */
+    public static void flushNow(Channel channel) {
+        if (channel.unsafe() instanceof NioUnsafe socket) {
+            socket.forceFlush();
+        }
+    }
+
     /** Reads what stands unread in a socket before the event loop selects it; in memory nothing stands unread. */
     public static void readNow(Channel channel) {
         if (channel.unsafe() instanceof NioUnsafe socket) {
