Owe a request its answer until a byte of a host's response has left

Cause: StallWatch made such a response a streamed one with nothing of its body; RequestDispatcher.responseStarted took it for begun, ReplyWriter.begin left its head unflushed, and ClientConnection.breakOff closed the connection.

Change: ReplyWriter holds the head until a part of the body follows and the kernel has taken all earlier responses; until then a response that breaks is withdrawn, and its request is retried or answered, also in a drain and where the client's body breaks. The policy hears of a response with its first part.

--- a/src/main/java/caperrudder/server/OpenRequest.java
+++ b/src/main/java/caperrudder/server/OpenRequest.java
@@ -172,6 +172,12 @@
         return streaming;
     }
 
+    /** Whether something of its response has left for the client. */
+    boolean hasResponseBegun() {
+        return client != null && streaming != null && client.hasResponseBegun();
+    }
+
+    /** From now on the response of this attempt goes to the client as it comes; of none where null. */
     void setStreaming(UpstreamAttempt attempt) {
         streaming = attempt;
     }
--- a/src/main/java/caperrudder/server/RequestDispatcher.java
+++ b/src/main/java/caperrudder/server/RequestDispatcher.java
@@ -170,11 +170,8 @@
 
     /** Rule 1: attempts end with the client's time, and what the policy then leaves unanswered fails here. */
     private void deadlinePassed(OpenRequest request) {
-        UpstreamAttempt streaming = request.streaming();
-        if (streaming != null
-                && (request.isClosed()
-                        || streaming.isLong()
-                        || !request.client().isWritable())) {
+        if (request.hasResponseBegun()
+                && (request.streaming().isLong() || !request.client().isWritable())) {
             return; // the first bytes came in time, and the rest has the client's
         }
         endAttempts(request); // a short response that goes on and on is none: its client sees that it is not whole
@@ -219,7 +216,7 @@
         policy.post((now, p) -> p.requestNotReplayable(now, request.id()));
     }
 
-    /** A response begins that is passed on as it comes; false where the client has its response or is gone. */
+    /** A response is to be passed on as it comes; false where the client has its response or is gone. */
     boolean responseStarted(UpstreamAttempt attempt, HttpResponse head) {
         OpenRequest request = attempt.request();
         if (attempt.hasEnded() || request.isClosed()) {
@@ -227,17 +224,20 @@
         }
         request.setStreaming(attempt);
         request.client().beginResponse(head, attempt);
-        policy.post((now, p) -> p.responseStarted(now, request.id(), attempt.number()));
         return true;
     }
 
     /** A part of that response, which is taken over. */
     void responsePart(UpstreamAttempt attempt, ByteBuf part) {
-        ClientConnection client = attempt.request().client();
+        OpenRequest request = attempt.request();
+        ClientConnection client = request.client();
         if (client == null) {
             part.release();
-        } else {
-            client.writePart(part);
+            return;
+        }
+        client.writePart(part);
+        if (attempt.isFirstPart()) {
+            policy.post((now, p) -> p.responseStarted(now, request.id(), attempt.number()));
         }
     }
 
@@ -257,6 +257,9 @@
     private void answerClient(UpstreamAttempt attempt, Outcome outcome, FullHttpResponse response) {
         OpenRequest request = attempt.request();
         boolean served = outcome == Outcome.OK;
+        if (!served) {
+            withdrawUnlessBegun(attempt);
+        }
         if (request.streaming() == attempt) {
             ClientConnection client =
                     request.close(counters, served ? RequestCounters.End.ANSWERED : RequestCounters.End.ERRORED);
@@ -271,6 +274,15 @@
         }
     }
 
+    /** A response that broke before anything of it had left is none: the request is retried or answered by itself. */
+    private static void withdrawUnlessBegun(UpstreamAttempt attempt) {
+        OpenRequest request = attempt.request();
+        if (request.streaming() == attempt && !request.isClosed() && !request.hasResponseBegun()) {
+            request.setStreaming(null);
+            request.client().withdrawResponse();
+        }
+    }
+
     private void postResult(UpstreamAttempt attempt, Outcome outcome, FullHttpResponse response) {
         OpenRequest request = attempt.request();
         boolean closed = request.isClosed();
@@ -368,15 +380,15 @@
         sendingStopped = true;
     }
 
-    /** Gives up every attempt, and fails what is not answered then; only streamed responses go on. */
+    /** Gives up every attempt, and fails what is not answered then; only responses that have begun for their clients go on. */
     void endAll() {
         List<OpenRequest> unanswered =
-                open.values().stream().filter(r -> r.streaming() == null).toList();
+                open.values().stream().filter(r -> !r.hasResponseBegun()).toList();
         for (OpenRequest request : unanswered) {
             endAttempts(request); // the policy rejects or fails it, as its further attempts are void now
         }
         for (OpenRequest request : List.copyOf(open.values())) {
-            if (!request.isClosed() && request.streaming() == null) { // still held
+            if (!request.isClosed() && !request.hasResponseBegun()) { // still held
                 terminate(request, HttpResponseStatus.BAD_GATEWAY);
             }
         }
--- a/src/main/java/caperrudder/server/UpstreamAttempt.java
+++ b/src/main/java/caperrudder/server/UpstreamAttempt.java
@@ -21,6 +21,7 @@
     private double firstByteAtMs; // of a streamed response
     private HttpResponse streamedHead; // null where the response is not streamed
     private long streamedBytes;
+    private boolean firstPart; // the part handed over last is the first one
     private boolean sent; // its last byte
     private boolean ended;
     private Future<?> timeout;
@@ -95,6 +96,7 @@
 
     @Override
     protected void responsePart(ByteBuf part) {
+        firstPart = streamedBytes == 0;
         streamedBytes += part.readableBytes();
         dispatcher.responsePart(this, part);
     }
@@ -115,6 +117,11 @@
                 || (streamedHead != null && HttpUtil.getContentLength(streamedHead, 0L) > LONG_RESPONSE_BYTES);
     }
 
+    /** Whether the part that was handed over last is the first one of a streamed response. */
+    boolean isFirstPart() {
+        return firstPart;
+    }
+
     /** The head of what the host answered, with {@code response} or streamed before; null where nothing came. */
     HttpResponse responseHead(FullHttpResponse response) {
         return response == null ? streamedHead : response;
--- a/src/main/java/caperrudder/server/downstream/ClientConnection.java
+++ b/src/main/java/caperrudder/server/downstream/ClientConnection.java
@@ -155,7 +155,7 @@
         if (replies.isStalled(nowMs)) {
             return true;
         }
-        if (replies.isStreaming()) {
+        if (replies.hasBegun()) {
             return false;
         }
         boolean owesRequest = inbound.isUploading() || (!busy && !ended);
@@ -188,6 +188,7 @@
     /** The rest of a request will not come: no host is to wait for it. */
     private void abandonUpload() {
         inbound.forgetUpload();
+        replies.discard();
         disconnectCurrent();
     }
 
@@ -242,7 +243,7 @@
         if (!inbound.isUploadUnfinished()) {
             return;
         }
-        if (replies.isStreaming()) { // its response is on its way
+        if (replies.hasBegun()) { // its response is on its way
             breakOff();
         } else if (!busy) { // its response is given
             closeGently();
@@ -341,6 +342,16 @@
         replies.write(part);
     }
 
+    /** Whether something of that response has left for the client, so that no other one can take its place. */
+    public boolean hasResponseBegun() {
+        return replies.hasBegun();
+    }
+
+    /** Drops that response, of which nothing has left: the request gets another one. */
+    public void withdrawResponse() {
+        replies.discard();
+    }
+
     /** That response is whole, or broke: then the client is to see that it is not whole. */
     public void endResponse(boolean whole) {
         if (whole) {
--- a/src/main/java/caperrudder/server/downstream/ReplyWriter.java
+++ b/src/main/java/caperrudder/server/downstream/ReplyWriter.java
@@ -34,6 +34,8 @@
     private final WriteProgress progress;
     private final PartQueue unwritten = new PartQueue();
     private ResponseSource source; // of the response on its way; null between them
+    private HttpResponse heldHead; // of that response, until something of its body follows
+    private boolean waitingToBegin; // until the kernel has taken all earlier responses
     private boolean closing; // the response on its way is the connection's last
     private boolean endedByClose; // and only the connection's end tells that it is whole
 
@@ -89,7 +91,7 @@
     // ---- a streamed response
 
     /**
-     * Begins to pass a response on as it comes.
+     * Begins to pass a response on as it comes. Its head is held until something follows it.
      *
      * @param chunkedAllowed whether the client reads a body in chunks
      * @param last whether the connection ends with this response whatever its framing
@@ -110,18 +112,48 @@
         }
         source = parts;
         channel.config().setWriteBufferWaterMark(UNWRITTEN);
-        channel.write(to, channel.voidPromise());
+        heldHead = to;
     }
 
     /** Takes the part over. */
     void write(ByteBuf part) {
         unwritten.add(part);
-        writeWhileTaken();
+        beginWriting();
+    }
+
+    /** Writes the first bytes once the kernel has taken all earlier responses, so that it takes these at once. */
+    private void beginWriting() {
+        if (heldHead == null || !progress.isPending()) {
+            writeWhileTaken();
+            return;
+        }
+        source.setReading(unwritten.heldBytes() < budget.windowBytes());
+        if (!waitingToBegin) {
+            waitingToBegin = true;
+            progress.whenTaken(this::earlierResponsesTaken);
+        }
+    }
+
+    private void earlierResponsesTaken() {
+        waitingToBegin = false;
+        if (source != null) { // else the response has ended meanwhile
+            beginWriting();
+        }
+    }
+
+    private void writeHead() {
+        if (heldHead != null) {
+            channel.write(heldHead, channel.voidPromise());
+            heldHead = null;
+        }
     }
 
     /** Writes what waits as far as the client takes it, and reads on where little waits. */
     private void writeWhileTaken() {
         boolean any = false;
+        if (!unwritten.isEmpty()) {
+            writeHead();
+        }
         while (channel.isWritable() && !unwritten.isEmpty()) {
             channel.write(new DefaultHttpContent(unwritten.poll()), channel.voidPromise());
             any = true;
@@ -140,6 +172,7 @@
     /** No more parts come of a response that is whole: those that wait are written. */
     void stop() {
         source = null;
+        writeHead();
         for (ByteBuf part = unwritten.poll(); part != null; part = unwritten.poll()) {
             channel.write(new DefaultHttpContent(part), channel.voidPromise());
         }
@@ -148,6 +181,7 @@
     /** No more parts come, and those that wait are dropped: the response broke, or its client has gone. */
     void discard() {
         source = null;
+        heldHead = null;
         unwritten.releaseAll();
     }
 
@@ -155,6 +189,11 @@
         return source != null;
     }
 
+    /** Whether the client has got a part of the response on its way; until then another response may take its place. */
+    boolean hasBegun() {
+        return source != null && heldHead == null;
+    }
+
     /** Whether the kernel has not taken all of what the client is to get. */
     boolean isPending() {
         return !unwritten.isEmpty() || progress.isPending();
@@ -186,7 +225,7 @@
 
     void writabilityChanged() {
         if (source != null) {
-            writeWhileTaken();
+            beginWriting();
         }
     }
 }
--- a/src/main/java/caperrudder/server/upstream/ResponseAssembler.java
+++ b/src/main/java/caperrudder/server/upstream/ResponseAssembler.java
@@ -96,9 +96,9 @@
 
     // ---- streaming
 
-    /** Streams the response that is being read, if it is still buffered. */
+    /** Streams the response that is being read, if it is still buffered and something of its body has come. */
     void streamBuffered() {
-        if (!streaming && head != null && !isInterim()) {
+        if (!streaming && head != null && !isInterim() && body.length() > 0) {
             startStreaming();
         }
     }
