Refund the ceiling units of a sent request once

Cause: CustomerQuota.refund gave units back as unsent ones, also where AttemptDispatcher had marked them as sent, so that CeilingBucket.unsentUnits fell below 0 and the bucket filled beyond its share for good.

Change: RequestReservation, which owns the units, tells whether they were marked as sent. A refund fills the bucket to its capacity at most.

--- a/src/main/java/caperrudder/policy/RequestReservation.java
+++ b/src/main/java/caperrudder/policy/RequestReservation.java
@@ -75,6 +75,6 @@
         retryBudget = null;
         if (quota == null || before == State.NONE || before == State.RELEASED) return;
         quota.requestClosed();
-        if (!sentCompletely) quota.refund(units);
+        if (!sentCompletely) quota.refund(units, before == State.SENT);
     }
 }
--- a/src/main/java/caperrudder/policy/quota/CeilingBucket.java
+++ b/src/main/java/caperrudder/policy/quota/CeilingBucket.java
@@ -67,7 +67,7 @@
         level = Math.min(capacity() - unsentUnits, level + totalGranted - alreadyReceived);
     }
 
-    /** Reserves units for an admitted request until it is sent; a negative number refunds reserved units. */
+    /** Reserves units for an admitted request until it is sent. */
     void reserve(double units) {
         unsentUnits += units;
         level -= units;
@@ -78,6 +78,16 @@
         unsentUnits -= units;
     }
 
+    /**
+     * Refunds reserved units of a request that did not reach a host as a whole.
+     *
+     * @param markedSent whether they were marked as sent
+     */
+    void refund(double units, boolean markedSent) {
+        if (!markedSent) unsentUnits -= units;
+        level = Math.min(capacity() - unsentUnits, level + units);
+    }
+
     /** Takes units that are granted to another gateway. */
     void grant(double units) {
         level -= units;
--- a/src/main/java/caperrudder/policy/quota/CustomerQuota.java
+++ b/src/main/java/caperrudder/policy/quota/CustomerQuota.java
@@ -180,10 +180,10 @@
         concurrency.closed();
     }
 
-    /** Refunds the units of an admitted request that ended before it was completely sent. */
-    public void refund(double units) {
+    /** Refunds the units of a request that ended before it was completely sent, {@code markedSent} or not before. */
+    public void refund(double units, boolean markedSent) {
         charge(-units);
-        ceiling.reserve(-units);
+        ceiling.refund(units, markedSent);
     }
 
     /** Takes units from the quota; a negative number refunds them. */
--- a/src/test/java/caperrudder/policy/ResourceReleaseTest.java
+++ b/src/test/java/caperrudder/policy/ResourceReleaseTest.java
@@ -24,6 +24,9 @@
     private static final double CLIENT_TIMEOUT_MS = 250;
     private static final List<String> PLANS = List.of("small", "capped", "open", "free");
     private static final List<String> CLASSES = List.of("read", "pay", "order");
+    private static final int CEILING_CUSTOMER = 1; // has the plan with a ceiling
+    private static final int CEILING_BURST_UNITS = 40; // of the plan
+    private static final double CEILING_FULL_MS = 4000;
     private static final double UNITS_TOLERANCE = 1e-6;
 
     /** A request at the server: it reports the ends of the attempts that it was asked to send, in any order. */
@@ -73,6 +76,8 @@
             LiveRequest request = new LiveRequest("r" + requests++, 1 + random.nextInt(4), bodyPending);
             live.add(request);
             int customer = random.nextInt(CUSTOMERS); // a customer keeps its plan
+            String plan = PLANS.get(customer % PLANS.size());
+            int gateways = plan.equals("capped") ? 1 : 2; // this one has all of the ceiling, and a part of other quotas
             harness.policy.requestReceived(
                     harness.now,
                     new Request(
@@ -82,10 +87,10 @@
                             false,
                             CLASSES.get(random.nextInt(CLASSES.size())),
                             customer,
-                            PLANS.get(customer % PLANS.size()),
+                            plan,
                             request.units,
                             0,
-                            2,
+                            gateways,
                             bodyPending));
         }
 
@@ -190,6 +195,20 @@
         assertEquals(0, server.harness.policy.load().slotsInUse());
         assertEquals(server.deliveredUnits, server.usedUnits(), UNITS_TOLERANCE);
         assertConcurrencyQuotaIsFree(server.harness);
+        assertCeilingHoldsNoMoreThanItsBurst(server.harness);
+    }
+
+    /** Whatever was refunded before, a customer that rested gets no more at once than the ceiling's burst. */
+    private static void assertCeilingHoldsNoMoreThanItsBurst(PolicyHarness harness) {
+        harness.advance(CEILING_FULL_MS);
+        int before = harness.sent.size();
+        for (int i = 0; i < 2 * CEILING_BURST_UNITS; i++) {
+            String id = "ceiling" + i;
+            harness.request(id, "read", "capped", CEILING_CUSTOMER, 1, 1);
+            if (harness.attemptsOf(id) > 0) harness.endAttempt(id, 0, Outcome.OK, 5);
+        }
+        int attempts = harness.sent.size() - before;
+        assertTrue(attempts > 0 && attempts <= CEILING_BURST_UNITS, "attempts at once: " + attempts);
     }
 
     /** The plan with a concurrency limit of 2 admits two again, and no third. */
--- a/src/test/java/caperrudder/policy/quota/CeilingBucketTest.java
+++ b/src/test/java/caperrudder/policy/quota/CeilingBucketTest.java
@@ -35,6 +35,29 @@
         assertEquals(20, bucket.level());
     }
 
+    /** Guards against a bucket that held more than its share for good (docs/incidents/ceiling-units-twice.md). */
+    @Test
+    void unitsThatWereSentAreRefundedOnce() {
+        CeilingBucket bucket = new CeilingBucket(CAPPED, HALF, 60_000);
+        bucket.reserve(15);
+        bucket.markSent(15);
+        bucket.refund(15, true);
+        assertEquals(20, bucket.level());
+        bucket.refill(60);
+        assertEquals(20, bucket.level());
+    }
+
+    @Test
+    void unitsThatWereNotSentAreRefundedWithTheirPlace() {
+        CeilingBucket bucket = new CeilingBucket(CAPPED, HALF, 60_000);
+        bucket.reserve(15);
+        bucket.refill(60);
+        bucket.refund(15, false);
+        assertEquals(20, bucket.level());
+        bucket.refill(60);
+        assertEquals(20, bucket.level());
+    }
+
     @Test
     void onlyTheIncreaseOfARunningTotalIsReceived() {
         CeilingBucket bucket = new CeilingBucket(CAPPED, HALF, 0);
