Move the deadline timers of open requests out of RequestDispatcher

RequestDeadlines sets the timer by the deadline or by that of the upload, which stood as two methods. No behaviour changes.

--- a/src/main/java/caperrudder/server/RequestDispatcher.java
+++ b/src/main/java/caperrudder/server/RequestDispatcher.java
@@ -9,7 +9,6 @@
 import caperrudder.server.http.RequestBody;
 import caperrudder.server.runtime.EventLoopContext;
 import caperrudder.server.runtime.Log;
-import caperrudder.server.runtime.ProtectionCounters.Reason;
 import caperrudder.server.upstream.LoadReportParser;
 import caperrudder.server.upstream.UpstreamClient;
 import io.netty.buffer.ByteBuf;
@@ -38,6 +37,7 @@
     private final PolicyEventQueue policy;
     private final UpstreamClient upstream;
     private final LoadReportParser loadReports;
+    private final RequestDeadlines deadlines;
     private final Map<String, OpenRequest> open = new HashMap<>();
     private boolean sendingStopped; // the drain's time is up
 
@@ -62,6 +62,7 @@
         this.policy = policy;
         this.upstream = upstream;
         this.loadReports = loadReports;
+        this.deadlines = new RequestDeadlines(eventLoop, this::deadlinePassed);
     }
 
     double now() {
@@ -101,18 +102,14 @@
         OpenRequest entry = new OpenRequest(this, request, head, body, client);
         open.put(request.id(), entry);
         client.open(entry);
-        if (entry.isComplete()) {
-            startDeadline(entry);
-        } else {
-            startUploadDeadline(entry);
-        }
+        deadlines.start(entry);
         policy.post((now, p) -> p.requestReceived(now, request));
     }
 
     /** The last byte has come of a request that was received before. */
     void completed(OpenRequest request) {
         request.startTime(now() - eventLoop.lag().ms());
-        startDeadline(request);
+        deadlines.start(request);
         policy.post((now, p) -> p.requestBodyCompleted(now, request.id(), request.deadlineAtMs()));
     }
 
@@ -136,38 +133,6 @@
 
     // ---- deadlines
 
-    private void startDeadline(OpenRequest request) {
-        request.setDeadlineTimer(eventLoop.schedule(() -> deadlinePassed(request), request.deadlineAtMs() - now()));
-    }
-
-    /**
-     * A request whose end has not been read is guarded, too: while its host takes nothing its client is not read, and
-     * its end may have stood in the socket for as long.
-     */
-    private void startUploadDeadline(OpenRequest request) {
-        request.setDeadlineTimer(
-                eventLoop.schedule(() -> uploadDeadlineDue(request), request.uploadDeadlineAtMs() - now()));
-    }
-
-    private void uploadDeadlineDue(OpenRequest request) {
-        if (isUploadUnfinished(request)) {
-            request.client().readUpload();
-        }
-        if (!isUploadUnfinished(request)) {
-            return;
-        }
-        if (now() < request.uploadDeadlineAtMs()) {
-            startUploadDeadline(request);
-        } else {
-            eventLoop.protections().count(Reason.UPLOAD_STALLED);
-            deadlinePassed(request);
-        }
-    }
-
-    private static boolean isUploadUnfinished(OpenRequest request) {
-        return !request.isClosed() && !request.body().isReceived();
-    }
-
     /** Rule 1: attempts end with the client's time, and what the policy then leaves unanswered fails here. */
     private void deadlinePassed(OpenRequest request) {
         if (request.hasResponseBegun()
