Give the ways in which a client connection ends a class of their own

ConnectionCloser takes over LingeringClose and the three ways to close, each with the bookkeeping of ConnectionEviction. No behaviour changes.

--- a/src/main/java/caperrudder/server/downstream/ClientConnection.java
+++ b/src/main/java/caperrudder/server/downstream/ClientConnection.java
@@ -31,6 +31,7 @@
     private final ConnectionContext context;
     private final InboundRequests inbound;
     private final ReplyWriter replies;
+    private final ConnectionCloser closer;
     private ReceivedRequest current;
     private boolean chunkedAllowed; // the client reads a body in chunks
     private boolean busy;
@@ -46,6 +47,7 @@
         this.idleSinceMs = context.eventLoop().clock().now();
         this.inbound = new InboundRequests(channel, context.eventLoop(), context.headMemory());
         this.replies = new ReplyWriter(channel, idleSinceMs, context.eventLoop().budget());
+        this.closer = new ConnectionCloser(this, channel, inbound, replies, context.eviction());
     }
 
     void addTo(ChannelPipeline pipeline) {
@@ -91,23 +93,11 @@
     /** Closes it as soon as the kernel has taken what was written; nothing more is read of it. */
     void closeGently() {
         ended = true;
-        inbound.forgetUpload();
-        context.eviction().exempt(this);
-        replies.whenTaken(this::endOutput); // which would drop what waits
-    }
-
-    private void endOutput() {
-        if (LingeringClose.isPossible(channel)) {
-            context.eviction().lingers(this);
-            LingeringClose.begin(channel, inbound);
-        } else {
-            channel.close();
-        }
+        closer.closeGently();
     }
 
     void closeNow() {
-        context.eviction().remove(this);
-        channel.close();
+        closer.closeNow();
     }
 
     void closeUnfinished() {
@@ -120,11 +110,6 @@
         }
     }
 
-    private void breakOff() {
-        context.eviction().remove(this);
-        replies.abort();
-    }
-
     /** Takes its place among those that may give way, behind the others of its kind. */
     void rest() {
         if (!busy && !ended && !inbound.isUploading() && !replies.isPending()) {
@@ -152,11 +137,9 @@
 
     /** Whether for too long no request has come on a connection that owes one, or none of a response was taken. */
     boolean isOverdue(double nowMs) {
-        if (replies.isStalled(nowMs)) {
-            return true;
-        }
-        if (replies.hasBegun()) {
-            return false;
+        boolean stalled = replies.isStalled(nowMs);
+        if (stalled || replies.hasBegun()) {
+            return stalled;
         }
         boolean owesRequest = inbound.isUploading() || (!busy && !ended);
         boolean silent = messages == 0 && !busy && nowMs - idleSinceMs > SILENT_MS;
@@ -172,7 +155,7 @@
         keepAlive = false;
         if (replies.isStalled(now)) {
             context.count(Reason.STALLED_RESPONSE);
-            breakOff();
+            closer.breakOff();
         } else if (inbound.isUploading() && !busy) { // it was answered, and only its rest did not come
             closeGently();
         } else if (inbound.isUploading() || inbound.isInsideRequest()) {
@@ -244,7 +227,7 @@
             return;
         }
         if (replies.hasBegun()) { // its response is on its way
-            breakOff();
+            closer.breakOff();
         } else if (!busy) { // its response is given
             closeGently();
         } else {
@@ -360,7 +343,7 @@
         } else {
             current = null;
             ended = true;
-            breakOff();
+            closer.breakOff();
         }
     }
 
